proxy: the whole path on the users' platform

Cause: nothing of the product ran where the users run it. Change: one process a VM. The caller's node routes and places a call, the node beside the chosen upstream admits and runs it; hand-overs between nodes go by net/rpc under names that the receiver begins at most once. Members find each other through their own entries in the store, the configuration is followed there and asked of other nodes while the store is away. platform/ holds names, formats and calls only.

--- /dev/null
+++ b/internal/observe/reporter/reporter.go
@@ -0,0 +1,248 @@
+// Package reporter tells operators what a proxy decides: a JSON line for each
+// decision that went wrong for a call or changed what the node believes, and
+// counters and histograms of all calls. Its volume is bounded under load.
+package reporter
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/sirupsen/logrus"
+
+	"github.com/tamarackscale/tamarackscale/internal/proxy/balancer"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/dispatcher"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/tracker"
+)
+
+// callLinesPerSecond bounds the lines about single calls.
+const callLinesPerSecond = 60
+
+// Reporter implements the observers of the parts of a proxy.
+type Reporter struct {
+	log      *logrus.Entry
+	writer   *Writer
+	registry *prometheus.Registry
+	calls    *prometheus.HistogramVec
+	ends     *prometheus.CounterVec
+	attempts *prometheus.CounterVec
+	store    *prometheus.CounterVec
+	version  prometheus.Gauge
+
+	hint atomic.Pointer[func(int64)]
+
+	mu         sync.Mutex
+	second     int64
+	lines      int
+	suppressed map[carrier.Reason]int
+}
+
+// latencyBuckets are in seconds.
+var latencyBuckets = []float64{0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4}
+
+// New returns a reporter that writes to output.
+func New(node, zone string, output io.Writer) *Reporter {
+	writer := NewWriter(output)
+	logger := logrus.New()
+	logger.SetOutput(writer)
+	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	r := &Reporter{
+		log:        logger.WithFields(logrus.Fields{"node": node, "zone": zone}),
+		writer:     writer,
+		registry:   prometheus.NewRegistry(),
+		suppressed: map[carrier.Reason]int{},
+	}
+	r.calls = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "tamarackscale_call_seconds", Help: "Whole time of a call.", Buckets: latencyBuckets,
+	}, []string{"service", "rank", "outcome"})
+	r.ends = counter("tamarackscale_calls_total", "Calls by how they ended.", "service", "status", "reason")
+	r.attempts = counter("tamarackscale_hand_overs_total", "Hand-overs by how they ended.", "service", "outcome", "reason")
+	r.store = counter("tamarackscale_store_calls_total", "Calls to the platform's store.", "operation", "result")
+	r.version = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "tamarackscale_configuration_version", Help: "Configuration version in force.",
+	})
+	r.registry.MustRegister(r.calls, r.ends, r.attempts, r.store, r.version)
+	return r
+}
+
+func counter(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, labels)
+}
+
+// Handler serves the metrics as text.
+func (r *Reporter) Handler() http.Handler {
+	return promhttp.HandlerFor(r.registry, promhttp.HandlerOpts{DisableCompression: true})
+}
+
+// OnHint sets who takes in the versions of other nodes.
+func (r *Reporter) OnHint(hint func(int64)) { r.hint.Store(&hint) }
+
+// HeardVersion implements dispatcher.Observer.
+func (r *Reporter) HeardVersion(version int64) {
+	if hint := r.hint.Load(); hint != nil {
+		(*hint)(version)
+	}
+}
+
+// Ended implements dispatcher.Observer.
+func (r *Reporter) Ended(e dispatcher.Event) {
+	r.calls.WithLabelValues(e.Service, strconv.Itoa(e.Rank), e.Result.Outcome.String()).Observe(e.Took.Seconds())
+	r.ends.WithLabelValues(e.Service, strconv.Itoa(e.Status), string(e.Result.Reason)).Inc()
+	for _, a := range e.Attempts {
+		r.attempts.WithLabelValues(e.Service, a.Outcome.String(), string(a.Reason)).Inc()
+	}
+	plain := e.Result.Outcome == carrier.Run && e.Status < http.StatusInternalServerError && len(e.Attempts) == 1
+	if plain || !r.admit(e.Result.Reason) {
+		return
+	}
+	r.log.WithFields(logrus.Fields{
+		"event": "callEnded", "request": e.Call.ID, "route": e.Route, "service": e.Service, "rank": e.Rank,
+		"nested": e.Call.Nested, "version": e.Version, "outcome": e.Result.Outcome.String(),
+		"reason": string(e.Result.Reason), "status": e.Status, "pauseMs": e.Pause.Milliseconds(),
+		"callerTimeoutMs": e.Call.Timeout.Milliseconds(), "tookMs": e.Took.Milliseconds(), "handOvers": describe(e.Attempts),
+	}).Info("call ended")
+}
+
+// describe renders hand-overs as node/instance:outcome:reason:status:took/service.
+func describe(attempts []dispatcher.Attempt) string {
+	var text strings.Builder
+	for i, a := range attempts {
+		if i > 0 {
+			text.WriteByte(' ')
+		}
+		text.WriteString(a.Node + "/" + a.Instance + ":" + a.Outcome.String() + ":" + string(a.Reason) + ":" +
+			strconv.Itoa(a.Status) + ":" + strconv.FormatInt(a.Took.Milliseconds(), 10) + "/" +
+			strconv.FormatInt(a.Service.Milliseconds(), 10) + "ms")
+	}
+	return text.String()
+}
+
+// admit says whether another line about a call may be written in this second.
+func (r *Reporter) admit(reason carrier.Reason) bool {
+	now := time.Now().Unix()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now != r.second {
+		r.second, r.lines = now, 0
+		r.tellSuppressed()
+	}
+	r.lines++
+	if r.lines <= callLinesPerSecond {
+		return true
+	}
+	r.suppressed[reason]++
+	return false
+}
+
+func (r *Reporter) tellSuppressed() {
+	for reason, count := range r.suppressed {
+		r.log.WithFields(logrus.Fields{"event": "callsSummed", "reason": string(reason), "count": count}).Info("calls without a line")
+	}
+	clear(r.suppressed)
+	if dropped := r.writer.Dropped(); dropped > 0 {
+		r.log.WithFields(logrus.Fields{"event": "linesDropped", "count": dropped}).Warn("log lines were dropped")
+	}
+}
+
+// Started says that the process runs.
+func (r *Reporter) Started(address string) {
+	r.log.WithFields(logrus.Fields{"event": "started", "address": address}).Info("process started")
+}
+
+// Stopping says why the process stops.
+func (r *Reporter) Stopping(why string) {
+	r.log.WithFields(logrus.Fields{"event": "stopping", "why": why}).Info("process stops")
+}
+
+// Stopped says that the process has stopped, and writes what is pending.
+func (r *Reporter) Stopped(inFlight int) {
+	r.log.WithFields(logrus.Fields{"event": "stopped", "inFlight": inFlight}).Info("process stopped")
+	r.writer.Close()
+}
+
+// Reloaded says that the settings were read again.
+func (r *Reporter) Reloaded(err error) {
+	line := r.log.WithField("event", "reloaded")
+	if err != nil {
+		line.WithError(err).Error("settings can't be used, the former ones hold")
+		return
+	}
+	line.Info("settings reloaded")
+}
+
+// InForce implements subscriber.Observer.
+func (r *Reporter) InForce(version int64, source string, routes int) {
+	r.version.Set(float64(version))
+	r.log.WithFields(logrus.Fields{
+		"event": "inForce", "version": version, "source": source, "routes": routes,
+	}).Info("configuration in force")
+}
+
+// Unusable implements subscriber.Observer.
+func (r *Reporter) Unusable(source string, err error) {
+	r.log.WithFields(logrus.Fields{"event": "unusable", "source": source}).WithError(err).Error("configuration can't be used")
+}
+
+// StoreLost implements subscriber.Observer.
+func (r *Reporter) StoreLost(err error) {
+	r.log.WithField("event", "storeLost").WithError(err).Warn("store does not answer")
+}
+
+// StoreRegained implements subscriber.Observer.
+func (r *Reporter) StoreRegained() { r.log.WithField("event", "storeRegained").Info("store answers") }
+
+// StoreCall counts a call to the store.
+func (r *Reporter) StoreCall(operation, result string) {
+	r.store.WithLabelValues(operation, result).Inc()
+}
+
+// Registered implements finder.Observer.
+func (r *Reporter) Registered(entries int) {
+	r.log.WithFields(logrus.Fields{"event": "registered", "entries": entries}).Info("node registered")
+}
+
+// RegistrationFailed implements finder.Observer.
+func (r *Reporter) RegistrationFailed(err error) {
+	r.log.WithField("event", "registrationFailed").WithError(err).Warn("node can't register or read the members")
+}
+
+// MemberFound implements finder.Observer.
+func (r *Reporter) MemberFound(m balancer.Member, source string) {
+	r.log.WithFields(logrus.Fields{
+		"event": "memberFound", "member": m.Node, "instance": m.Instance, "service": m.Service,
+		"leaving": m.Leaving, "sequence": m.Sequence, "source": source,
+	}).Info("member has news")
+}
+
+// MemberLost implements finder.Observer.
+func (r *Reporter) MemberLost(m balancer.Member) {
+	r.log.WithFields(logrus.Fields{"event": "memberLost", "member": m.Node}).Info("member is gone")
+}
+
+// EntryUnusable implements finder.Observer.
+func (r *Reporter) EntryUnusable(key string, err error) {
+	r.log.WithFields(logrus.Fields{"event": "entryUnusable", "key": key}).WithError(err).Warn("entry names no member")
+}
+
+// Upstream says what the upstream beside the node told.
+func (r *Reporter) Upstream(u tracker.Upstream, verdict tracker.Verdict) {
+	if verdict != tracker.Changed {
+		return
+	}
+	r.log.WithFields(logrus.Fields{
+		"event": "upstreamChanged", "instance": u.Instance, "service": u.Service, "sequence": u.Sequence,
+		"leaving": u.State == tracker.Leaving, "slots": u.Slots,
+	}).Info("upstream changed")
+}
+
+// ReportRefused says that the upstream's report can't be used.
+func (r *Reporter) ReportRefused(err error) {
+	r.log.WithField("event", "reportRefused").WithError(err).Warn("report names no upstream")
+}
--- a/internal/platform/keeper/keeper.go
+++ b/internal/platform/keeper/keeper.go
@@ -92,3 +92,11 @@
 
 // Unwrap returns the transport's error.
 func (e *UnknownOutcomeError) Unwrap() error { return e.Cause }
+
+// HistoryLostError says that the events after a revision are no longer kept:
+// the reader starts again from a snapshot.
+type HistoryLostError struct{ After Revision }
+
+func (e *HistoryLostError) Error() string {
+	return fmt.Sprintf("the platform no longer keeps the history after revision %d", e.After)
+}
--- /dev/null
+++ b/internal/proxy/assembler/assembler.go
@@ -0,0 +1,171 @@
+// Package assembler puts a proxy together and runs it.
+package assembler
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/tamarackscale/tamarackscale/internal/observe/reporter"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/acceptor"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/balancer"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/dispatcher"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/executor"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/finder"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/forwarder"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/retrier"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/subscriber"
+	"github.com/tamarackscale/tamarackscale/internal/settings/reader"
+	"github.com/tamarackscale/tamarackscale/platform"
+)
+
+// storeTimeout bounds one call to the store.
+const storeTimeout = time.Second
+
+// Config is what a proxy needs.
+type Config struct {
+	Settings *reader.Settings
+	Output   io.Writer
+}
+
+// Proxy is one node.
+type Proxy struct {
+	settings atomic.Pointer[reader.Settings]
+	bounds   reader.Bounds
+	start    int64
+
+	report     *reporter.Reporter
+	executor   *executor.Executor
+	forwarder  *forwarder.Forwarder
+	receiver   *forwarder.Receiver
+	dispatcher *dispatcher.Dispatcher
+	acceptor   *acceptor.Acceptor
+	subscriber *subscriber.Subscriber
+	finder     *finder.Finder
+
+	listeners []net.Listener
+	sequence  atomic.Uint64
+	leaving   atomic.Bool
+	found     atomic.Bool
+	known     chan struct{}
+	knownOnce sync.Once
+}
+
+// New builds a proxy that does not run yet.
+func New(config Config) (*Proxy, error) {
+	s := config.Settings
+	p := &Proxy{bounds: s.Bounds, start: time.Now().UnixNano(), known: make(chan struct{})}
+	p.settings.Store(s)
+	p.sequence.Store(1)
+	p.report = reporter.New(s.Node.ID, s.Node.AvailabilityZone, config.Output)
+	p.executor = executor.New(executor.Config{
+		Dialect: platform.HTTP{}, DrainTime: p.bounds.DrainTime.Std(), Changed: p.upstreamChanged,
+	})
+	p.forwarder = forwarder.New(s.Node.ID, p.start)
+	var err error
+	p.receiver, err = forwarder.NewReceiver(p.start, p.executor, p)
+	if err != nil {
+		return nil, errors.Wrap(err, "export methods to other nodes")
+	}
+	p.buildControl(s)
+	p.dispatcher = dispatcher.New(dispatcher.Config{
+		Node: s.Node.ID, Service: func() string { return p.settings.Load().Upstream.Service },
+		Table: p.subscriber.Table, Forward: p.forwarder, Execute: p.executor, Observe: p.report,
+		Balancer: balancer.New(s.Node.AvailabilityZone),
+		Budget: retrier.Budget{
+			Ratio: p.bounds.RepeatRatio, Slack: p.bounds.RepeatSlack, Window: p.bounds.RepeatWindow.Std(),
+		},
+	})
+	p.acceptor = acceptor.New(platform.HTTP{}, p.dispatcher)
+	p.report.OnHint(p.subscriber.Hint)
+	p.Learn(p.Own())
+	return p, nil
+}
+
+// buildControl builds what talks to the platform's store.
+func (p *Proxy) buildControl(s *reader.Settings) {
+	dialer := &net.Dialer{Timeout: storeTimeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: time.Second, Interval: time.Second, Count: 2,
+	}}
+	transport := &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 2}
+	store := platform.NewStore(platform.StoreConfig{
+		Address: s.Platform.Address, Timeout: storeTimeout, Observe: p.report.StoreCall,
+	}, transport)
+	p.subscriber = subscriber.New(subscriber.Config{
+		Store: store, Key: platform.ConfigurationKey, Decode: platform.DecodeConfiguration,
+		Peers: p.peers, Ask: p.forwarder.Configuration, Observe: p.report,
+	})
+	p.finder = finder.New(finder.Config{
+		Store: store, Directory: p, Messenger: p.forwarder, Observe: p.report,
+		Seeds: s.SeedAddresses(), Known: p.known,
+	})
+}
+
+// Start opens the listeners and begins to serve. The context ends the
+// background work.
+func (p *Proxy) Start(ctx context.Context) error {
+	s := p.settings.Load()
+	callers, err := p.listen(s.Listen.Callers)
+	if err != nil {
+		return err
+	}
+	peers, err := p.listen(s.PeerAddress())
+	if err != nil {
+		return err
+	}
+	control, err := p.listen(s.Listen.Control)
+	if err != nil {
+		return err
+	}
+	readiness, err := p.listen(s.Listen.Readiness)
+	if err != nil {
+		return err
+	}
+	go p.receiver.Serve(peers)
+	go p.acceptor.Serve(callers)
+	go func() { _ = (&http.Server{Handler: platform.ControlHandler(p)}).Serve(control) }()
+	go func() { _ = (&http.Server{Handler: p.readinessHandler()}).Serve(readiness) }()
+	go p.subscriber.Run(ctx)
+	go p.finder.Run(ctx)
+	go func() {
+		<-p.finder.Found()
+		p.found.Store(true)
+	}()
+	p.report.Started(s.PeerAddress())
+	return nil
+}
+
+func (p *Proxy) listen(address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", address)
+	}
+	p.listeners = append(p.listeners, l)
+	return l, nil
+}
+
+// readinessHandler also serves the metrics, under /metrics.
+func (p *Proxy) readinessHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", p.report.Handler())
+	mux.Handle("/", platform.ReadinessHandler(p.ready))
+	return mux
+}
+
+// ready says whether the node takes calls: it has a configuration, has looked
+// for the other nodes, and does not stop.
+func (p *Proxy) ready() bool {
+	return p.subscriber.Table() != nil && p.found.Load() && !p.leaving.Load()
+}
+
+// Reload takes in changed settings.
+func (p *Proxy) Reload(s *reader.Settings) { p.settings.Store(s) }
+
+// Reporter returns what tells operators of the proxy.
+func (p *Proxy) Reporter() *reporter.Reporter { return p.report }
--- /dev/null
+++ b/internal/proxy/assembler/directory.go
@@ -0,0 +1,134 @@
+package assembler
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/tamarackscale/tamarackscale/internal/proxy/balancer"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/forwarder"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/tracker"
+)
+
+// Own returns the node's own word.
+func (p *Proxy) Own() balancer.Member {
+	s := p.settings.Load()
+	u := p.executor.Upstream()
+	m := balancer.Member{
+		Node: s.Node.ID, Start: p.start, Sequence: p.sequence.Load(), Address: s.PeerAddress(),
+		Zone: s.Node.AvailabilityZone, Leaving: p.leaving.Load() || u.State == tracker.Leaving,
+	}
+	if u.State != tracker.Absent {
+		m.Service, m.Instance, m.Slots = u.Service, u.Instance, u.Slots
+		m.ColdUntil = u.ColdUntil.UnixMilli()
+	}
+	return m
+}
+
+// Learn takes in a member's word and says whether it was news.
+func (p *Proxy) Learn(m balancer.Member) bool {
+	news := false
+	p.dispatcher.Members(func(b *balancer.Balancer) { news = b.Update(m) })
+	return news
+}
+
+// Members returns the word of every member, the own included.
+func (p *Proxy) Members() []balancer.Member {
+	var members []balancer.Member
+	p.dispatcher.Members(func(b *balancer.Balancer) { members = b.Members() })
+	return members
+}
+
+// Forget removes a member.
+func (p *Proxy) Forget(node string) {
+	p.dispatcher.Members(func(b *balancer.Balancer) {
+		if m, known := b.Member(node); known {
+			p.forwarder.Forget(m.Address)
+		}
+		b.Remove(node)
+	})
+}
+
+// upstreamChanged makes the node's new word known.
+func (p *Proxy) upstreamChanged() {
+	p.sequence.Add(1)
+	p.Learn(p.Own())
+	p.finder.Changed()
+}
+
+// Heard implements forwarder.Neighbour.
+func (p *Proxy) Heard(m balancer.Member) balancer.Member {
+	own := p.Own()
+	if m.Node != own.Node && p.Learn(m) {
+		p.report.MemberFound(m, "peer")
+	}
+	p.finder.Answered(m, own)
+	return own
+}
+
+// NextConfiguration implements forwarder.Neighbour.
+func (p *Proxy) NextConfiguration(ctx context.Context, have int64) forwarder.ConfigurationReply {
+	return p.subscriber.Next(ctx, have)
+}
+
+// Version implements forwarder.Neighbour.
+func (p *Proxy) Version() int64 { return p.subscriber.Version() }
+
+// Load implements forwarder.Neighbour.
+func (p *Proxy) Load() balancer.Load {
+	load := p.executor.Load(time.Now())
+	load.Leaving = load.Leaving || p.leaving.Load()
+	return load
+}
+
+// peers returns the addresses of the other nodes, those of the own zone first.
+func (p *Proxy) peers() []string {
+	own := p.settings.Load().Node
+	members := p.Members()
+	sort.Slice(members, func(i, j int) bool {
+		a, b := members[i], members[j]
+		if near := a.Zone == own.AvailabilityZone; near != (b.Zone == own.AvailabilityZone) {
+			return near
+		}
+		return a.Node < b.Node
+	})
+	var addresses []string
+	for _, m := range members {
+		if m.Node != own.ID {
+			addresses = append(addresses, m.Address)
+		}
+	}
+	if len(addresses) == 0 {
+		return p.settings.Load().SeedAddresses()
+	}
+	return addresses
+}
+
+// Report implements platform.UpstreamListener.
+func (p *Proxy) Report(r tracker.Report) error {
+	if s := p.settings.Load(); r.Address != s.Upstream.Address {
+		return errors.Newf("report of instance %q: its address %s is not that of the upstream, %s",
+			r.Instance, r.Address, s.Upstream.Address)
+	}
+	if t := p.subscriber.Table(); t != nil {
+		if _, known := t.Service(r.Service); !known {
+			return errors.Newf("report of instance %q: service %q is unknown in version %d", r.Instance, r.Service, t.Version)
+		}
+	}
+	verdict := p.executor.Report(r, time.Now())
+	p.report.Upstream(p.executor.Upstream(), verdict)
+	p.knownOnce.Do(func() { close(p.known) })
+	return nil
+}
+
+// SignOff implements platform.UpstreamListener.
+func (p *Proxy) SignOff(instance string, born int64) error {
+	verdict := p.executor.SignOff(instance, born, time.Now())
+	p.report.Upstream(p.executor.Upstream(), verdict)
+	return nil
+}
+
+// Refused implements platform.UpstreamListener.
+func (p *Proxy) Refused(err error) { p.report.ReportRefused(err) }
--- /dev/null
+++ b/internal/proxy/forwarder/forwarder.go
@@ -0,0 +1,184 @@
+// Package forwarder carries calls, and what nodes tell each other, between
+// nodes by net/rpc over one connection for each pair and direction.
+//
+// A hand-over has a name that the receiver begins at most once. When the
+// connection breaks, the sender repeats the hand-over under the same name on a
+// new one: it either joins the execution that began or starts it now. A process
+// that started anew knows no names, so the repeat is bound to the process that
+// the first message went to.
+package forwarder
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/tamarackscale/tamarackscale/internal/kernel/pauser"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/balancer"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/executor"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/fencer"
+)
+
+const (
+	// cancelTimeout bounds the message that ends a hand-over.
+	cancelTimeout = time.Second
+	// rejoinPause is the pause between attempts to reach a node that holds a call.
+	rejoinPause = 100 * time.Millisecond
+	// maxRejoinsIdempotent bounds the attempts for calls that may run elsewhere.
+	maxRejoinsIdempotent = 1
+)
+
+// Forwarder is the sending side.
+type Forwarder struct {
+	name   string
+	dialer *net.Dialer
+	number atomic.Uint64
+
+	mu    sync.Mutex
+	peers map[string]*peer
+}
+
+// New returns a forwarder of the process that began at start.
+func New(node string, start int64) *Forwarder {
+	return &Forwarder{
+		name: node + "/" + strconv.FormatInt(start, 36),
+		dialer: &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: time.Second, Interval: time.Second, Count: 2,
+		}},
+		peers: map[string]*peer{},
+	}
+}
+
+func (f *Forwarder) peer(address string) *peer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := f.peers[address]
+	if p == nil {
+		p = &peer{address: address, dialer: f.dialer}
+		f.peers[address] = p
+	}
+	return p
+}
+
+// Forget closes the connection to an address that is no member's any more.
+func (f *Forwarder) Forget(address string) {
+	f.mu.Lock()
+	p := f.peers[address]
+	delete(f.peers, address)
+	f.mu.Unlock()
+	if p == nil {
+		return
+	}
+	p.mu.Lock()
+	l := p.link
+	p.mu.Unlock()
+	if l != nil {
+		p.drop(l)
+	}
+}
+
+// Forward hands a call over and waits for its result. The context ends when the
+// caller is gone or its deadline has passed.
+func (f *Forwarder) Forward(ctx context.Context, m balancer.Member, job executor.Job) RunReply {
+	began := time.Now()
+	p := f.peer(m.Address)
+	args := RunArgs{HandOver: fencer.HandOver{Sender: f.name, Number: f.number.Add(1)}, Start: m.Start, Job: job}
+	sent := false
+	for rejoins := 0; ; rejoins++ {
+		l, err := p.connect(ctx)
+		if err == nil {
+			sent = true
+			args.Job.Remaining = job.Remaining - time.Since(began)
+			args.Job.Objective = job.Objective - time.Since(began)
+			var reply RunReply
+			err = p.call(ctx, l, "Run", args, &reply)
+			if err == nil && reply.OtherStart {
+				return lost(rejoins > 0)
+			}
+			if err == nil {
+				return reply
+			}
+		}
+		if ctx.Err() != nil {
+			go f.cancel(m.Address, args.HandOver)
+			return RunReply{Result: ended(ctx, sent)}
+		}
+		if !sent {
+			return RunReply{Result: carrier.Refuse(carrier.PeerUnreachable)}
+		}
+		if errors.Is(err, syscall.ECONNREFUSED) || (job.Idempotent && rejoins >= maxRejoinsIdempotent) {
+			go f.cancel(m.Address, args.HandOver)
+			return lost(true)
+		}
+		if rejoins > 0 && !pauser.Pause(ctx, rejoinPause) {
+			return RunReply{Result: ended(ctx, sent)}
+		}
+	}
+}
+
+// lost is the result when the process that was meant is gone. It never saw the
+// call if the first message already met its successor.
+func lost(mayHaveRun bool) RunReply {
+	if !mayHaveRun {
+		return RunReply{Result: carrier.Refuse(carrier.PeerUnreachable)}
+	}
+	return RunReply{Result: carrier.Result{Outcome: carrier.Unknown, Reason: carrier.PeerLost, Arrived: true}}
+}
+
+func ended(ctx context.Context, sent bool) carrier.Result {
+	reason := carrier.CallerGone
+	if context.Cause(ctx) == context.DeadlineExceeded {
+		reason = carrier.DeadlineExceeded
+	}
+	if !sent {
+		return carrier.Refuse(reason)
+	}
+	return carrier.Fail(reason)
+}
+
+func (f *Forwarder) cancel(address string, name fencer.HandOver) {
+	ctx, done := context.WithTimeout(context.Background(), cancelTimeout)
+	defer done()
+	// The receiver's own deadline ends the call if this message is lost.
+	_ = f.Call(ctx, address, "Cancel", CancelArgs{HandOver: name}, &Empty{})
+}
+
+// Call makes a call that is no hand-over.
+func (f *Forwarder) Call(ctx context.Context, address, method string, args, reply any) error {
+	p := f.peer(address)
+	l, err := p.connect(ctx)
+	if err != nil {
+		return err
+	}
+	return p.call(ctx, l, method, args, reply)
+}
+
+// Tell gives the own word to a member and returns the member's.
+func (f *Forwarder) Tell(ctx context.Context, address string, own balancer.Member) (balancer.Member, error) {
+	var answer balancer.Member
+	err := f.Call(ctx, address, "Tell", own, &answer)
+	return answer, err
+}
+
+// Members asks a node for the members that it knows.
+func (f *Forwarder) Members(ctx context.Context, address string) ([]balancer.Member, error) {
+	var members []balancer.Member
+	err := f.Call(ctx, address, "Members", Empty{}, &members)
+	return members, err
+}
+
+// Configuration asks a node for a newer configuration.
+func (f *Forwarder) Configuration(
+	ctx context.Context, address string, args ConfigurationArgs,
+) (ConfigurationReply, error) {
+	var reply ConfigurationReply
+	err := f.Call(ctx, address, "Configuration", args, &reply)
+	return reply, err
+}
--- /dev/null
+++ b/internal/proxy/forwarder/messages.go
@@ -0,0 +1,55 @@
+package forwarder
+
+import (
+	"time"
+
+	"github.com/tamarackscale/tamarackscale/internal/proxy/balancer"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/executor"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/fencer"
+)
+
+// serviceName is the name under which net/rpc finds the methods of a node.
+const serviceName = "Node"
+
+// RunArgs hands a call over to the node beside its upstream.
+type RunArgs struct {
+	HandOver fencer.HandOver
+	// Start is the process that must run the call; another one refuses it.
+	Start int64
+	Job   executor.Job
+}
+
+// RunReply is the result of a hand-over.
+type RunReply struct {
+	Result carrier.Result
+	// Service is the time at the upstream.
+	Service time.Duration
+	Load    balancer.Load
+	// Version is the configuration version in force at the node.
+	Version int64
+	// OtherStart says that the process that was meant is gone.
+	OtherStart bool
+}
+
+// CancelArgs ends a hand-over, or keeps it from beginning.
+type CancelArgs struct{ HandOver fencer.HandOver }
+
+// Empty is an argument or a reply that says nothing.
+type Empty struct{}
+
+// ConfigurationArgs asks for a configuration newer than Have.
+type ConfigurationArgs struct {
+	Have int64
+	// Wait is how long the answer may take if there is none yet.
+	Wait time.Duration
+}
+
+// ConfigurationReply holds a configuration in the form in which it was read.
+type ConfigurationReply struct {
+	// Version is 0 if there is none newer.
+	Version int64
+	Data    []byte
+	// Following says that the answering node hears of changes itself.
+	Following bool
+}
--- /dev/null
+++ b/internal/proxy/forwarder/peer.go
@@ -0,0 +1,155 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// dialTimeout bounds the opening of a connection to another node.
+	dialTimeout = 700 * time.Millisecond
+	// probeAfter is the silence on a connection with open calls after which it
+	// is probed, and probeTimeout the further silence after which it is dead.
+	probeAfter   = 300 * time.Millisecond
+	probeTimeout = 400 * time.Millisecond
+)
+
+// errSilent says that a connection carries nothing any more.
+var errSilent = errors.New("the connection has gone silent")
+
+// monitored is a connection that knows when it was last heard of.
+type monitored struct {
+	net.Conn
+	heard atomic.Int64
+}
+
+// Read implements net.Conn.
+func (m *monitored) Read(b []byte) (int, error) {
+	n, err := m.Conn.Read(b)
+	if n > 0 {
+		m.heard.Store(time.Now().UnixNano())
+	}
+	return n, err
+}
+
+func (m *monitored) silence(since time.Time) time.Duration {
+	last := time.Unix(0, m.heard.Load())
+	if last.Before(since) {
+		last = since
+	}
+	return time.Since(last)
+}
+
+// link is one connection to a peer.
+type link struct {
+	*rpc.Client
+	conn   *monitored
+	probed atomic.Int64
+}
+
+// peer is the way to one node. Its link is opened when it is needed.
+type peer struct {
+	address string
+	dialer  *net.Dialer
+
+	mu   sync.Mutex
+	link *link
+	// dialing is closed when the attempt that is under way has ended.
+	dialing chan struct{}
+	err     error
+}
+
+// connect returns the open link or opens one. Concurrent calls share one attempt.
+func (p *peer) connect(ctx context.Context) (*link, error) {
+	p.mu.Lock()
+	if p.link != nil {
+		defer p.mu.Unlock()
+		return p.link, nil
+	}
+	if p.dialing == nil {
+		p.dialing = make(chan struct{})
+		go p.dial(p.dialing)
+	}
+	wait := p.dialing
+	p.mu.Unlock()
+	select {
+	case <-wait:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.link == nil {
+		return nil, p.err
+	}
+	return p.link, nil
+}
+
+func (p *peer) dial(done chan struct{}) {
+	conn, err := p.dialer.Dial("tcp", p.address)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	defer close(done)
+	p.dialing, p.err = nil, err
+	if err != nil {
+		return
+	}
+	m := &monitored{Conn: conn}
+	m.heard.Store(time.Now().UnixNano())
+	p.link = &link{Client: rpc.NewClient(m), conn: m}
+}
+
+// drop closes a link that failed.
+func (p *peer) drop(l *link) {
+	p.mu.Lock()
+	if p.link == l {
+		p.link = nil
+	}
+	p.mu.Unlock()
+	_ = l.Close()
+}
+
+// call makes one call on a link and watches over its silence. An error other
+// than that of the context means that the link is of no use any more.
+func (p *peer) call(ctx context.Context, l *link, method string, args, reply any) error {
+	began := time.Now()
+	pending := l.Go(serviceName+"."+method, args, reply, make(chan *rpc.Call, 1))
+	timer := time.NewTimer(probeAfter)
+	defer timer.Stop()
+	for {
+		select {
+		case <-pending.Done:
+			if pending.Error != nil {
+				p.drop(l)
+			}
+			return pending.Error
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-timer.C:
+			silence := l.conn.silence(began)
+			if silence >= probeAfter+probeTimeout {
+				p.drop(l)
+				return errSilent
+			}
+			if silence >= probeAfter {
+				l.probe()
+			}
+			timer.Reset(max(probeAfter-silence, probeTimeout/4))
+		}
+	}
+}
+
+// probe asks for a sign of life, at most once a probeTimeout.
+func (l *link) probe() {
+	now := time.Now().UnixNano()
+	last := l.probed.Load()
+	if now-last < int64(probeTimeout) || !l.probed.CompareAndSwap(last, now) {
+		return
+	}
+	l.Go(serviceName+".Ping", Empty{}, &Empty{}, make(chan *rpc.Call, 1))
+}
--- /dev/null
+++ b/internal/proxy/subscriber/subscriber.go
@@ -0,0 +1,240 @@
+// Package subscriber keeps a node on the newest configuration. It follows the
+// platform's store; while that fails, it asks other nodes. A version never goes
+// back within the life of a process.
+package subscriber
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/tamarackscale/tamarackscale/internal/kernel/pauser"
+	"github.com/tamarackscale/tamarackscale/internal/platform/keeper"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/forwarder"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/router"
+)
+
+const (
+	// watchTime is how long one watch waits for a change.
+	watchTime = 25 * time.Second
+	// gatherTime is the pause after a change, in which further changes gather:
+	// a stream of versions costs one call a pause.
+	gatherTime = 600 * time.Millisecond
+	// retryPause is the pause after a failed call to the store.
+	retryPause = 400 * time.Millisecond
+	// peerWait is how long another node may take to tell of a newer version.
+	peerWait = time.Second
+	// peerPause is the pause between questions to other nodes.
+	peerPause = 250 * time.Millisecond
+)
+
+// Observer is told of what a subscriber does.
+type Observer interface {
+	// InForce takes in a version with where it came from.
+	InForce(version int64, source string, routes int)
+	// Unusable takes in a configuration that could not be read.
+	Unusable(source string, err error)
+	// StoreLost and StoreRegained take in how the store answers.
+	StoreLost(err error)
+	StoreRegained()
+}
+
+// Config is what a subscriber needs.
+type Config struct {
+	Store  keeper.EventStore
+	Key    string
+	Decode func(data []byte) (router.Configuration, error)
+	// Peers returns the addresses of other nodes, the nearest first.
+	Peers func() []string
+	// Ask asks another node for a newer configuration.
+	Ask     func(ctx context.Context, address string, args forwarder.ConfigurationArgs) (forwarder.ConfigurationReply, error)
+	Observe Observer
+}
+
+// Subscriber holds the configuration in force.
+type Subscriber struct {
+	config    Config
+	table     atomic.Pointer[router.Table]
+	following atomic.Bool
+	// hinted receives when another node has a newer version.
+	hinted chan struct{}
+
+	mu      sync.Mutex
+	data    []byte
+	changed chan struct{}
+}
+
+// New returns a subscriber without a configuration.
+func New(config Config) *Subscriber {
+	return &Subscriber{config: config, hinted: make(chan struct{}, 1), changed: make(chan struct{})}
+}
+
+// Table returns the table in force, or nil.
+func (s *Subscriber) Table() *router.Table { return s.table.Load() }
+
+// Version returns the version in force, or 0.
+func (s *Subscriber) Version() int64 {
+	if t := s.table.Load(); t != nil {
+		return t.Version
+	}
+	return 0
+}
+
+// Hint takes in the version of another node.
+func (s *Subscriber) Hint(version int64) {
+	if version <= s.Version() {
+		return
+	}
+	select {
+	case s.hinted <- struct{}{}:
+	default:
+	}
+}
+
+// Run follows the store and the peers until the context ends.
+func (s *Subscriber) Run(ctx context.Context) {
+	go s.followPeers(ctx)
+	for ctx.Err() == nil {
+		err := s.followStore(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		var lost *keeper.HistoryLostError
+		if errors.As(err, &lost) {
+			continue
+		}
+		if s.following.Swap(false) || s.Version() == 0 {
+			s.config.Observe.StoreLost(err)
+		}
+		if !pauser.Pause(ctx, retryPause) {
+			return
+		}
+	}
+}
+
+// followStore reads the configuration and watches it until a call fails.
+func (s *Subscriber) followStore(ctx context.Context) error {
+	item, revision, err := s.config.Store.Read(ctx, s.config.Key)
+	var missing *keeper.NotFoundError
+	if err != nil && !errors.As(err, &missing) {
+		return err
+	}
+	if !s.following.Swap(true) {
+		s.config.Observe.StoreRegained()
+	}
+	if err == nil {
+		s.apply(item.Value, "store")
+	}
+	for {
+		events, err := s.watch(ctx, revision)
+		if err != nil {
+			return err
+		}
+		for i := len(events.List) - 1; i >= 0; i-- {
+			if event := events.List[i]; event.Key == s.config.Key && !event.Deleted {
+				s.apply(event.Value, "store")
+				break
+			}
+		}
+		revision = events.Revision
+		if len(events.List) > 0 && !pauser.Pause(ctx, gatherTime) {
+			return ctx.Err()
+		}
+	}
+}
+
+// errHinted ends a watch because another node is ahead of it.
+var errHinted = errors.New("another node has a newer version")
+
+// watch waits for changes. A hint that is not followed by the store's own word
+// within a gatherTime ends it: the watch may have gone silent.
+func (s *Subscriber) watch(ctx context.Context, after keeper.Revision) (keeper.Events, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		select {
+		case <-done:
+			return
+		case <-s.hinted:
+		}
+		select {
+		case <-done:
+		case <-time.After(gatherTime):
+			cancel(errHinted)
+		}
+	}()
+	events, err := s.config.Store.Follow(ctx, s.config.Key, after, watchTime)
+	if err != nil && errors.Is(context.Cause(ctx), errHinted) {
+		return events, &keeper.HistoryLostError{After: after}
+	}
+	return events, err
+}
+
+// followPeers asks other nodes while the store does not answer.
+func (s *Subscriber) followPeers(ctx context.Context) {
+	turn := 0
+	for pauser.Pause(ctx, peerPause) {
+		if s.following.Load() {
+			continue
+		}
+		peers := s.config.Peers()
+		if len(peers) == 0 {
+			continue
+		}
+		reply, err := s.ask(ctx, peers[turn%len(peers)])
+		if err != nil || (!reply.Following && reply.Version == 0) {
+			turn++
+		}
+		if err == nil && reply.Version > s.Version() {
+			s.apply(reply.Data, "peer")
+		}
+	}
+}
+
+func (s *Subscriber) ask(ctx context.Context, address string) (forwarder.ConfigurationReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerWait+time.Second)
+	defer cancel()
+	return s.config.Ask(ctx, address, forwarder.ConfigurationArgs{Have: s.Version(), Wait: peerWait})
+}
+
+// apply brings a configuration into force if it is newer.
+func (s *Subscriber) apply(data []byte, source string) {
+	c, err := s.config.Decode(data)
+	if err != nil {
+		s.config.Observe.Unusable(source, err)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	previous := s.table.Load()
+	if previous != nil && c.Version <= previous.Version {
+		return
+	}
+	s.table.Store(router.New(c, previous))
+	s.data = data
+	close(s.changed)
+	s.changed = make(chan struct{})
+	s.config.Observe.InForce(c.Version, source, len(c.Routes))
+}
+
+// Next returns a configuration newer than have, waiting for one until the
+// context ends.
+func (s *Subscriber) Next(ctx context.Context, have int64) forwarder.ConfigurationReply {
+	for {
+		s.mu.Lock()
+		data, changed := s.data, s.changed
+		s.mu.Unlock()
+		if version := s.Version(); version > have {
+			return forwarder.ConfigurationReply{Version: version, Data: data, Following: s.following.Load()}
+		}
+		select {
+		case <-ctx.Done():
+			return forwarder.ConfigurationReply{Following: s.following.Load()}
+		case <-changed:
+		}
+	}
+}
