proxy: relays for the configuration, a stop in stages

Change: watches last 2 s; two nodes of a zone follow the store and the others ask those two, so that calls do not grow with the fleet. Ruled out: stale reads as a check of the watch (they lag too).

--- a/internal/proxy/acceptor/conn.go
+++ b/internal/proxy/acceptor/conn.go
@@ -222,7 +222,10 @@
 func (c *conn) answer(
 	ctx context.Context, call carrier.Call, received time.Time, last bool, previous, written chan struct{},
 ) {
-	response := c.a.handler.Handle(ctx, call, received)
+	response := stoppingResponse
+	if !c.a.stopping.Load() || call.Nested {
+		response = c.a.handler.Handle(ctx, call, received)
+	}
 	<-previous
 	// A connection ends only behind the last call that was read from it.
 	last = last || (c.a.stopping.Load() && c.open.Load() == 1)
@@ -235,6 +238,13 @@
 	close(written)
 }
 
+// stoppingPause is when the caller of a stopping node may come back.
+const stoppingPause = 300 * time.Millisecond
+
+var stoppingResponse = Response{
+	Own: true, Status: http.StatusServiceUnavailable, Reason: string(carrier.Stopping), Pause: stoppingPause,
+}
+
 func (c *conn) write(call carrier.Call, r Response, last bool) {
 	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
 	var err error
--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -99,7 +99,7 @@
 	}, transport)
 	p.subscriber = subscriber.New(subscriber.Config{
 		Store: store, Key: platform.ConfigurationKey, Decode: platform.DecodeConfiguration,
-		Peers: p.peers, Ask: p.forwarder.Configuration, Observe: p.report,
+		Peers: p.peers, Relays: p.relays, Own: s.PeerAddress(), Ask: p.forwarder.Configuration, Observe: p.report,
 	})
 	p.finder = finder.New(finder.Config{
 		Store: store, Directory: p, Messenger: p.forwarder, Observe: p.report,
--- a/internal/proxy/assembler/directory.go
+++ b/internal/proxy/assembler/directory.go
@@ -18,7 +18,7 @@
 	u := p.executor.Upstream()
 	m := balancer.Member{
 		Node: s.Node.ID, Start: p.start, Sequence: p.sequence.Load(), Address: s.PeerAddress(),
-		Zone: s.Node.AvailabilityZone, Leaving: p.leaving.Load() || u.State == tracker.Leaving,
+		Zone: s.Node.AvailabilityZone, Stopping: p.leaving.Load(), Leaving: p.leaving.Load() || u.State == tracker.Leaving,
 	}
 	if u.State != tracker.Absent {
 		m.Service, m.Instance, m.Slots = u.Service, u.Instance, u.Slots
@@ -106,6 +106,24 @@
 	return addresses
 }
 
+// relays returns the addresses of the nodes of the own zone that do not stop, in
+// the order of their names.
+func (p *Proxy) relays() []string {
+	zone := p.settings.Load().Node.AvailabilityZone
+	var near []balancer.Member
+	for _, m := range p.Members() {
+		if m.Zone == zone && !m.Stopping {
+			near = append(near, m)
+		}
+	}
+	sort.Slice(near, func(i, j int) bool { return near[i].Node < near[j].Node })
+	addresses := make([]string, 0, len(near))
+	for _, m := range near {
+		addresses = append(addresses, m.Address)
+	}
+	return addresses
+}
+
 // Report implements platform.UpstreamListener.
 func (p *Proxy) Report(r tracker.Report) error {
 	if s := p.settings.Load(); r.Address != s.Upstream.Address {
--- a/internal/proxy/balancer/balancer.go
+++ b/internal/proxy/balancer/balancer.go
@@ -23,8 +23,8 @@
 	// crossZoneShare is the part of a call's latency objective that must be
 	// gained for it to leave the zone: bytes between zones are dear. Urgent
 	// calls, of rank 0, leave for less.
-	crossZoneShare       = 0.25
-	crossZoneShareUrgent = 0.06
+	crossZoneShare       = 0.5
+	crossZoneShareUrgent = 0.2
 	// firstEjection and longestEjection bound how long an upstream that failed
 	// is avoided; the time doubles with each failure in a row.
 	firstEjection   = 300 * time.Millisecond
@@ -50,8 +50,10 @@
 	Service  string
 	Instance string
 	Slots    int
-	// Leaving says that the upstream or the node stops soon.
-	Leaving bool
+	// Leaving says that the upstream or the node stops soon, Stopping that the
+	// node does.
+	Leaving  bool
+	Stopping bool
 	// ColdUntil is when the upstream stops to be slow, in Unix milliseconds.
 	ColdUntil int64
 }
--- a/internal/proxy/executor/executor.go
+++ b/internal/proxy/executor/executor.go
@@ -63,6 +63,7 @@
 	tracker          *tracker.Tracker
 	queue            *queuer.Queue
 	unreachableUntil time.Time
+	stopping         bool
 }
 
 // New returns an executor that knows no upstream.
@@ -179,6 +180,8 @@
 func (e *Executor) unfit(service string, now time.Time) carrier.Reason {
 	current := e.tracker.Current()
 	switch {
+	case e.stopping:
+		return carrier.Stopping
 	case current.State == tracker.Absent:
 		return carrier.NoEndpoint
 	case current.Service != service:
@@ -277,5 +280,13 @@
 	e.config.Changed()
 }
 
+// Stop refuses calls from now on; those that run are finished.
+func (e *Executor) Stop() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stopping = true
+	e.queue.RefuseAll()
+}
+
 // Close ends the idle connections.
 func (e *Executor) Close() { e.pool.drop() }
--- a/internal/proxy/subscriber/subscriber.go
+++ b/internal/proxy/subscriber/subscriber.go
@@ -1,6 +1,10 @@
-// Package subscriber keeps a node on the newest configuration. It follows the
-// platform's store; while that fails, it asks other nodes. A version never goes
-// back within the life of a process.
+// Package subscriber keeps a node on the newest configuration. A version never
+// goes back within the life of a process.
+//
+// In each availability zone two nodes follow the platform's store, the relays.
+// The others keep a question open at both of them, and follow the store
+// themselves as soon as neither relay answers or hears of changes itself. While
+// the store fails, any other node is asked.
 package subscriber
 
 import (
@@ -17,8 +21,9 @@
 )
 
 const (
-	// watchTime is how long one watch waits for a change.
-	watchTime = 25 * time.Second
+	// watchTime is how long one watch waits for a change. A watch may have gone
+	// deaf without an error, so it is short.
+	watchTime = 2 * time.Second
 	// gatherTime is the pause after a change, in which further changes gather:
 	// a stream of versions costs one call a pause.
 	gatherTime = 600 * time.Millisecond
@@ -28,6 +33,12 @@
 	peerWait = time.Second
 	// peerPause is the pause between questions to other nodes.
 	peerPause = 250 * time.Millisecond
+	// relayCount is how many nodes of a zone follow the store.
+	relayCount = 2
+	// relayWait is how long a relay may take to tell of a newer version.
+	relayWait = 2 * time.Second
+	// rolePause is the pause between looks at whether the node is a relay.
+	rolePause = 200 * time.Millisecond
 )
 
 // Observer is told of what a subscriber does.
@@ -48,6 +59,11 @@
 	Decode func(data []byte) (router.Configuration, error)
 	// Peers returns the addresses of other nodes, the nearest first.
 	Peers func() []string
+	// Relays returns the addresses of the zone's nodes that may be relays, the
+	// own one included, in the same order at every node.
+	Relays func() []string
+	// Own is the node's own address.
+	Own string
 	// Ask asks another node for a newer configuration.
 	Ask     func(ctx context.Context, address string, args forwarder.ConfigurationArgs) (forwarder.ConfigurationReply, error)
 	Observe Observer
@@ -58,6 +74,8 @@
 	config    Config
 	table     atomic.Pointer[router.Table]
 	following atomic.Bool
+	// relayed says for each relay that it answers and hears of changes itself.
+	relayed [relayCount]atomic.Bool
 	// hinted receives when another node has a newer version.
 	hinted chan struct{}
 
@@ -93,22 +111,95 @@
 	}
 }
 
-// Run follows the store and the peers until the context ends.
+// Run keeps the configuration up to date until the context ends.
 func (s *Subscriber) Run(ctx context.Context) {
 	go s.followPeers(ctx)
-	for ctx.Err() == nil {
+	for i := range relayCount {
+		go s.followRelay(ctx, i)
+	}
+	pause := time.Duration(0)
+	for pauser.Pause(ctx, pause) {
+		pause = rolePause
+		if !s.mustFollow() {
+			s.setFollowing(false)
+			continue
+		}
 		err := s.followStore(ctx)
-		if ctx.Err() != nil {
+		var lost *keeper.HistoryLostError
+		switch {
+		case ctx.Err() != nil:
 			return
+		case errors.As(err, &lost):
+			pause = 0
+		case err != nil:
+			pause = retryPause
+			if s.setFollowing(false) || s.Version() == 0 {
+				s.config.Observe.StoreLost(err)
+			}
 		}
-		var lost *keeper.HistoryLostError
-		if errors.As(err, &lost) {
+	}
+}
+
+// mustFollow says whether the node follows the store itself: it is a relay, or
+// no relay is of use to it.
+func (s *Subscriber) mustFollow() bool {
+	for i := range relayCount {
+		if s.relayed[i].Load() {
+			return false
+		}
+	}
+	return true
+}
+
+// setFollowing returns what it was before. Those who wait for a version from
+// this node are woken when it stops to hear of changes.
+func (s *Subscriber) setFollowing(follows bool) bool {
+	before := s.following.Swap(follows)
+	if before && !follows {
+		s.mu.Lock()
+		s.wake()
+		s.mu.Unlock()
+	}
+	return before
+}
+
+func (s *Subscriber) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// relay returns the address of a relay that this node asks; empty if there is
+// none or if the node is a relay itself.
+func (s *Subscriber) relay(index int) string {
+	candidates := s.config.Relays()
+	for i := range min(relayCount, len(candidates)) {
+		if candidates[i] == s.config.Own {
+			return ""
+		}
+	}
+	if index >= len(candidates) {
+		return ""
+	}
+	return candidates[index]
+}
+
+// followRelay keeps a question open at one relay.
+func (s *Subscriber) followRelay(ctx context.Context, index int) {
+	for ctx.Err() == nil {
+		address := s.relay(index)
+		if address == "" {
+			s.relayed[index].Store(false)
+			if !pauser.Pause(ctx, rolePause) {
+				return
+			}
 			continue
 		}
-		if s.following.Swap(false) || s.Version() == 0 {
-			s.config.Observe.StoreLost(err)
+		reply, err := s.ask(ctx, address, relayWait)
+		s.relayed[index].Store(err == nil && reply.Following)
+		if err == nil && reply.Version > s.Version() {
+			s.apply(reply.Data, "relay")
 		}
-		if !pauser.Pause(ctx, retryPause) {
+		if (err != nil || !reply.Following) && !pauser.Pause(ctx, peerPause) {
 			return
 		}
 	}
@@ -121,7 +212,7 @@
 	if err != nil && !errors.As(err, &missing) {
 		return err
 	}
-	if !s.following.Swap(true) {
+	if !s.setFollowing(true) {
 		s.config.Observe.StoreRegained()
 	}
 	if err == nil {
@@ -142,6 +233,9 @@
 		if len(events.List) > 0 && !pauser.Pause(ctx, gatherTime) {
 			return ctx.Err()
 		}
+		if !s.mustFollow() {
+			return nil
+		}
 	}
 }
 
@@ -178,14 +272,14 @@
 func (s *Subscriber) followPeers(ctx context.Context) {
 	turn := 0
 	for pauser.Pause(ctx, peerPause) {
-		if s.following.Load() {
+		if s.following.Load() || !s.mustFollow() {
 			continue
 		}
 		peers := s.config.Peers()
 		if len(peers) == 0 {
 			continue
 		}
-		reply, err := s.ask(ctx, peers[turn%len(peers)])
+		reply, err := s.ask(ctx, peers[turn%len(peers)], peerWait)
 		if err != nil || (!reply.Following && reply.Version == 0) {
 			turn++
 		}
@@ -195,10 +289,12 @@
 	}
 }
 
-func (s *Subscriber) ask(ctx context.Context, address string) (forwarder.ConfigurationReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, peerWait+time.Second)
+func (s *Subscriber) ask(
+	ctx context.Context, address string, wait time.Duration,
+) (forwarder.ConfigurationReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+time.Second)
 	defer cancel()
-	return s.config.Ask(ctx, address, forwarder.ConfigurationArgs{Have: s.Version(), Wait: peerWait})
+	return s.config.Ask(ctx, address, forwarder.ConfigurationArgs{Have: s.Version(), Wait: wait})
 }
 
 // apply brings a configuration into force if it is newer.
@@ -216,8 +312,7 @@
 	}
 	s.table.Store(router.New(c, previous))
 	s.data = data
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.wake()
 	s.config.Observe.InForce(c.Version, source, len(c.Routes))
 }
 
@@ -235,6 +330,9 @@
 		case <-ctx.Done():
 			return forwarder.ConfigurationReply{Following: s.following.Load()}
 		case <-changed:
+			if !s.following.Load() && s.Version() <= have {
+				return forwarder.ConfigurationReply{}
+			}
 		}
 	}
 }
