--- a/internal/proxy/balancer/balancer.go
+++ b/internal/proxy/balancer/balancer.go
@@ -6,7 +6,10 @@
 package balancer
 
 import (
+	"math"
 	"time"
+
+	"github.com/tamarackscale/tamarackscale/internal/proxy/queuer"
 )
 
 const (
@@ -20,17 +23,18 @@
 	coldFactor = 2
 	// crossZoneDelay is the round trip to another zone.
 	crossZoneDelay = 8 * time.Millisecond
-	// crossZoneShare is the part of a call's latency objective that must be
-	// gained for it to leave the zone: bytes between zones are dear. Urgent
-	// calls, of rank 0, leave for less.
-	crossZoneShare       = 0.5
-	crossZoneShareUrgent = 0.2
+	// crossZonePrice is the part of a call's worth that its bytes between zones
+	// cost; the most urgent calls are worth more.
+	crossZonePrice       = 0.12
+	crossZonePriceUrgent = 0.02
+	// lateShare is the part of its worth that a late answer keeps.
+	lateShare = 0.3
+	// spread is the deviation of the time that a call takes, as a part of it.
+	spread = 0.25
 	// firstEjection and longestEjection bound how long an upstream that failed
 	// is avoided; the time doubles with each failure in a row.
 	firstEjection   = 300 * time.Millisecond
 	longestEjection = 5 * time.Second
-	// failureCost is the time that a certain failure would cost a call.
-	failureCost = 2 * time.Second
 	// fullMemory is how long a refusal for want of room is believed.
 	fullMemory = 60 * time.Millisecond
 )
@@ -71,16 +75,18 @@
 	InUse   int
 	Waiting int
 	Slots   int
-	// Backlog is how long a new call would wait.
-	Backlog time.Duration
 	Leaving bool
+	// Waits is how long a new call of each class would wait.
+	Waits [queuer.Classes]time.Duration
 }
 
 // Candidate is a member with what this node has learned of it.
 type Candidate struct {
 	Member
 
-	outstanding  int
+	outstanding int
+	// sinceLoad counts the calls sent since the load was told.
+	sinceLoad    int
 	load         Load
 	loadAt       time.Time
 	service      map[string]time.Duration
@@ -96,8 +102,12 @@
 	// Kind groups calls of like service time; the route's name.
 	Kind string
 	Rank int
-	// Objective is the route's latency objective.
+	// Class is its place in the order of a queue.
+	Class queuer.Class
+	// Objective and Remaining are the time left until an answer loses part and
+	// all of its worth.
 	Objective time.Duration
+	Remaining time.Duration
 	// Tried names the nodes that can't take this call.
 	Tried []string
 }
@@ -163,26 +173,32 @@
 	return c.Member, true
 }
 
-// Pick returns the candidate that is expected to answer soonest at a fair price,
-// or nil if every one was tried.
+// Pick returns the candidate from which the call can expect most, or nil if every
+// one was tried.
 func (b *Balancer) Pick(n Need, now time.Time) *Candidate {
 	var best *Candidate
-	var bestCost time.Duration
+	var bestTime time.Duration
+	bestWorth := 0.0
 	for _, c := range b.services[n.Service] {
 		if contains(n.Tried, c.Node) {
 			continue
 		}
-		cost := b.cost(c, n, now)
-		if best == nil || cost < bestCost || (cost == bestCost && c.Node < best.Node) {
-			best, bestCost = c, cost
+		expected := b.expectedTime(c, n, now)
+		worth := b.worth(c, n, expected, now)
+		if best == nil || worth > bestWorth+worthMargin || (worth > bestWorth-worthMargin && expected < bestTime) {
+			best, bestWorth, bestTime = c, worth, expected
 		}
 	}
 	if best != nil {
 		best.outstanding++
+		best.sinceLoad++
 	}
 	return best
 }
 
+// worthMargin is the difference in worth below which the shorter time decides.
+const worthMargin = 0.005
+
 func contains(names []string, name string) bool {
 	for _, n := range names {
 		if n == name {
@@ -192,37 +208,60 @@
 	return false
 }
 
-// lastResort is added to the cost of a candidate that is used only if no other
-// is left.
-const lastResort = time.Hour
+// The steps by which a candidate is worth less than any that has no such mark.
+const (
+	stepFull    = 1.0
+	stepEjected = 2.0
+	stepLeaving = 4.0
+)
 
-func (b *Balancer) cost(c *Candidate, n Need, now time.Time) time.Duration {
-	service := c.serviceTime(n.Kind)
-	if now.UnixMilli() < c.ColdUntil {
-		service *= coldFactor
-	}
-	cost := service + c.wait(service, now) + time.Duration(c.failureRate*float64(failureCost))
+// worth is what a call can expect of a candidate, as a part of its full worth,
+// less the price of its bytes. Candidates that are used only if no other is left
+// go below zero.
+func (b *Balancer) worth(c *Candidate, n Need, expected time.Duration, now time.Time) float64 {
+	inTime := chance(expected, n.Objective)
+	served := chance(expected, n.Remaining)
+	worth := (1 - c.failureRate) * (lateShare*served + (1-lateShare)*inTime)
 	if c.Zone != b.zone {
-		cost += crossZoneDelay + b.crossZonePrice(n)
+		worth -= price(n)
 	}
 	if c.Leaving || c.load.Leaving {
-		cost += 2 * lastResort
+		worth -= stepLeaving
 	}
 	if now.Before(c.ejectedUntil) {
-		cost += lastResort
+		worth -= stepEjected
 	}
 	if now.Before(c.fullUntil) {
-		cost += lastResort / 2
+		worth -= stepFull
 	}
-	return cost
+	return worth
 }
 
-func (b *Balancer) crossZonePrice(n Need) time.Duration {
-	share := crossZoneShare
+func price(n Need) float64 {
 	if n.Rank == 0 {
-		share = crossZoneShareUrgent
+		return crossZonePriceUrgent
+	}
+	return crossZonePrice
+}
+
+// chance is the probability that a call which takes the expected time on average
+// ends within the time left: a logistic curve.
+func chance(expected, left time.Duration) float64 {
+	deviation := spread * float64(max(expected, time.Millisecond))
+	return 1 / (1 + math.Exp(float64(expected-left)/deviation))
+}
+
+// expectedTime is how long a call would take at a candidate.
+func (b *Balancer) expectedTime(c *Candidate, n Need, now time.Time) time.Duration {
+	service := c.serviceTime(n.Kind)
+	if now.UnixMilli() < c.ColdUntil {
+		service *= coldFactor
+	}
+	expected := service + c.wait(n.Class, service, now)
+	if c.Zone != b.zone {
+		expected += crossZoneDelay
 	}
-	return time.Duration(share * float64(n.Objective))
+	return expected
 }
 
 func (c *Candidate) serviceTime(kind string) time.Duration {
@@ -232,22 +271,22 @@
 	return unknownService
 }
 
-// wait estimates the time in the queue from the calls that this node has there
-// itself and from the load that the last result told.
-func (c *Candidate) wait(service time.Duration, now time.Time) time.Duration {
-	slots := max(1, c.Slots)
-	busy := c.outstanding
-	if age := now.Sub(c.loadAt); age < loadMemory {
-		busy = max(busy, c.load.InUse+c.load.Waiting)
-	} else if age < 4*loadMemory {
-		busy = max(busy, (c.load.InUse+c.load.Waiting)/2)
+// wait estimates the time in the queue: what the node told with its last result,
+// believed less as it ages, and what this node has sent there since.
+func (c *Candidate) wait(class queuer.Class, service time.Duration, now time.Time) time.Duration {
+	slots := float64(max(1, c.Slots))
+	belief := 1.0
+	if age := now.Sub(c.loadAt); age > loadMemory {
+		belief = float64(loadMemory) / float64(age)
 	}
-	utilisation := float64(busy) / float64(slots)
-	if utilisation < 1 {
+	busy := max(float64(c.outstanding), belief*float64(c.load.InUse+c.load.Waiting))
+	told := belief * float64(c.load.Waits[class])
+	if busy < slots {
 		// Upstreams slow down when they are nearly full.
+		utilisation := busy / slots
 		return time.Duration(utilisation * utilisation * float64(service) / 2)
 	}
-	return time.Duration((utilisation - 0.5) * float64(service))
+	return time.Duration(told + float64(service)*(0.5+float64(c.sinceLoad)/slots))
 }
 
 // Outcome is what one hand-over taught.
@@ -269,7 +308,7 @@
 func (b *Balancer) Done(c *Candidate, o Outcome, now time.Time) {
 	c.outstanding--
 	if o.Load != nil {
-		c.load, c.loadAt = *o.Load, now
+		c.load, c.loadAt, c.sinceLoad = *o.Load, now, 0
 	}
 	if o.Full {
 		c.fullUntil = now.Add(fullMemory)
--- a/internal/proxy/dispatcher/placement.go
+++ b/internal/proxy/dispatcher/placement.go
@@ -9,6 +9,7 @@
 	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/executor"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/forwarder"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/queuer"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/router"
 )
 
@@ -42,9 +43,11 @@
 		if p.arrivals > 0 && !p.d.mayRepeat(p.match.Service) {
 			break
 		}
+		spent := time.Since(p.received)
 		candidate, member := p.d.choose(balancer.Need{
 			Service: p.match.Service, Kind: p.match.Name, Rank: p.match.Rank,
-			Objective: p.match.Objective, Tried: p.tried,
+			Class:     queuer.ClassOf(p.match.Rank, p.event.Nested),
+			Objective: p.match.Objective - spent, Remaining: p.patience - spent, Tried: p.tried,
 		})
 		if candidate == nil {
 			break
--- a/internal/proxy/executor/executor.go
+++ b/internal/proxy/executor/executor.go
@@ -134,7 +134,7 @@
 	current := e.tracker.Current()
 	return balancer.Load{
 		InUse: e.queue.InUse(), Waiting: e.queue.Waiting(), Slots: current.Slots,
-		Backlog: e.queue.Backlog(now), Leaving: current.State == tracker.Leaving,
+		Leaving: current.State == tracker.Leaving, Waits: e.queue.Waits(now),
 	}
 }
 
--- a/internal/proxy/queuer/queuer.go
+++ b/internal/proxy/queuer/queuer.go
@@ -7,6 +7,7 @@
 package queuer
 
 import (
+	"math"
 	"sort"
 	"time"
 )
@@ -21,9 +22,37 @@
 	floorInterval = 10
 	// leastShare is the part of the mean service time that must be left before
 	// the deadline for a call to be worth a slot.
-	leastShare = 0.5
+	leastShare = 1.1
+	// loadMemory is the time constant of the measured load.
+	loadMemory = time.Second
+	// ranks is how many ranks are told apart; the others count as the last.
+	ranks = 4
+	// mostLoad bounds the measured load of more urgent work, so that estimates
+	// stay finite.
+	mostLoad = 0.98
 )
 
+// Class is the place of a call in the order of a queue: nested calls, then calls
+// that can meet their objective by rank, then the others by rank.
+type Class int
+
+// Nested is the class of calls that upstreams make.
+const Nested Class = 0
+
+// Classes is the number of classes of calls that are not late.
+const Classes = 1 + ranks
+
+// lateClass is added to the class of a call that will miss its objective.
+const lateClass Class = Classes
+
+// ClassOf returns the class of a call that is not late.
+func ClassOf(rank int, nested bool) Class {
+	if nested {
+		return Nested
+	}
+	return Class(1 + min(max(rank, 0), ranks-1))
+}
+
 // Ticket is a call that waits or runs.
 type Ticket struct {
 	// Kind groups calls of like service time; the route's name.
@@ -62,6 +91,9 @@
 	service  map[string]time.Duration
 	sequence uint64
 	grants   uint64
+	// load is the work that arrives, by class, in slots: a decaying mean.
+	load   [Classes]float64
+	loadAt time.Time
 }
 
 // New returns an empty queue.
@@ -91,16 +123,51 @@
 	return unknownService
 }
 
-// Backlog is how long a new call of the least urgent rank would wait.
-func (q *Queue) Backlog(now time.Time) time.Duration {
+// Waits estimates how long a new call of each class would wait.
+func (q *Queue) Waits(now time.Time) [Classes]time.Duration {
+	var waits [Classes]time.Duration
 	if len(q.running) < q.Slots || q.Slots == 0 {
-		return 0
+		return waits
 	}
-	work := q.remaining(now)
+	var work [Classes]time.Duration
 	for _, t := range q.waiting {
-		work += q.ServiceTime(t.Kind)
+		if class := q.class(t, now); class < lateClass {
+			work[class] += q.ServiceTime(t.Kind)
+		}
+	}
+	ahead := q.remaining()
+	for class := range waits {
+		ahead += work[class]
+		waits[class] = q.waitBehind(ahead, Class(class), now)
+	}
+	return waits
+}
+
+// waitBehind is the time until the work ahead of a call is done, while more
+// urgent work goes on arriving.
+func (q *Queue) waitBehind(work time.Duration, class Class, now time.Time) time.Duration {
+	free := float64(q.Slots) * (1 - min(mostLoad, q.loadAhead(class, now)))
+	return time.Duration(float64(work) / free)
+}
+
+// loadAhead is the part of the slots that arriving work of more urgent classes
+// takes.
+func (q *Queue) loadAhead(class Class, now time.Time) float64 {
+	total := 0.0
+	for other := range min(class, lateClass) {
+		total += q.load[other]
 	}
-	return work / time.Duration(q.Slots)
+	decay := math.Exp(-now.Sub(q.loadAt).Seconds() / loadMemory.Seconds())
+	return total * decay / float64(max(1, q.Slots))
+}
+
+func (q *Queue) measure(t *Ticket, now time.Time) {
+	decay := math.Exp(-now.Sub(q.loadAt).Seconds() / loadMemory.Seconds())
+	for class := range q.load {
+		q.load[class] *= decay
+	}
+	q.loadAt = now
+	q.load[ClassOf(t.Rank, t.Nested)] += q.ServiceTime(t.Kind).Seconds() / loadMemory.Seconds()
 }
 
 // Offer takes in a ticket. It settles every ticket that this decides: the new
@@ -108,6 +175,7 @@
 func (q *Queue) Offer(t *Ticket, now time.Time) {
 	q.sequence++
 	t.sequence = q.sequence
+	q.measure(t, now)
 	q.waiting = append(q.waiting, t)
 	q.Advance(now)
 }
@@ -120,7 +188,13 @@
 	}
 	q.order(now)
 	for len(q.running) < q.Slots && len(q.waiting) > 0 {
-		q.grant(q.pick(), now)
+		position := q.pick()
+		if t := q.waiting[position]; now.Add(q.least(t)).After(t.Deadline) {
+			q.waiting = append(q.waiting[:position], q.waiting[position+1:]...)
+			t.Settled <- &Refusal{}
+			continue
+		}
+		q.grant(position, now)
 	}
 	q.refuseHopeless(now)
 }
@@ -137,17 +211,17 @@
 	})
 }
 
-// lateClass is added to the class of a call that will miss its objective.
-const lateClass = 1 << 16
-
-func (q *Queue) class(t *Ticket, now time.Time) int {
-	if t.Nested {
-		return -1
-	}
-	if now.Add(q.ServiceTime(t.Kind)).After(t.Objective) {
-		return t.Rank + lateClass
+func (q *Queue) class(t *Ticket, now time.Time) Class {
+	class := ClassOf(t.Rank, t.Nested)
+	if class != Nested && now.Add(q.ServiceTime(t.Kind)).After(t.Objective) {
+		return class + lateClass
 	}
-	return t.Rank
+	return class
+}
+
+// least is the time that must be left before a ticket's deadline.
+func (q *Queue) least(t *Ticket) time.Duration {
+	return time.Duration(leastShare * float64(q.ServiceTime(t.Kind)))
 }
 
 // pick returns the position of the ticket that goes next.
@@ -178,17 +252,15 @@
 	if len(q.waiting) == 0 || q.Slots == 0 {
 		return
 	}
-	work := q.remaining(now)
+	work := q.remaining()
 	kept := q.waiting[:0]
 	for _, t := range q.waiting {
-		mean := q.ServiceTime(t.Kind)
-		wait := work / time.Duration(q.Slots)
-		least := time.Duration(leastShare * float64(mean))
-		if now.Add(wait + least).After(t.Deadline) {
+		wait := q.waitBehind(work, q.class(t, now), now)
+		if now.Add(wait + q.least(t)).After(t.Deadline) {
 			t.Settled <- &Refusal{Wait: wait}
 			continue
 		}
-		work += mean
+		work += q.ServiceTime(t.Kind)
 		kept = append(kept, t)
 	}
 	clear(q.waiting[len(kept):])
@@ -197,7 +269,7 @@
 
 // remaining is the work left in the slots, half of the mean for each call that
 // runs: service times vary too widely for its age to say more.
-func (q *Queue) remaining(time.Time) time.Duration {
+func (q *Queue) remaining() time.Duration {
 	var work time.Duration
 	for t := range q.running {
 		work += q.ServiceTime(t.Kind) / 2
