balancer, subscriber: bytes priced by size, measured deviation, one watch a zone

Change: the price of leaving a zone grows with the call's bytes; the chance of being late uses the measured deviation of a kind of call; only the first node of a zone watches, the second relay asks it. Ruled out: a fixed price (kept calls in slow zones on one site and sent too many on the other).

--- a/internal/proxy/balancer/balancer.go
+++ b/internal/proxy/balancer/balancer.go
@@ -23,14 +23,20 @@
 	coldFactor = 2
 	// crossZoneDelay is the round trip to another zone.
 	crossZoneDelay = 8 * time.Millisecond
-	// crossZonePrice is the part of a call's worth that its bytes between zones
-	// cost; the most urgent calls are worth more.
-	crossZonePrice       = 0.12
-	crossZonePriceUrgent = 0.02
+	// pricePerKilobyte is the part of a call's worth that each kilobyte between
+	// zones costs; the most urgent calls are worth more.
+	pricePerKilobyte       = 0.08
+	pricePerKilobyteUrgent = 0.016
+	// envelopeBytes is what a hand-over and its result need besides bodies.
+	envelopeBytes = 900
 	// lateShare is the part of its worth that a late answer keeps.
 	lateShare = 0.3
-	// spread is the deviation of the time that a call takes, as a part of it.
-	spread = 0.25
+	// unknownDeviation stands for the mean deviation of a kind of call from its
+	// mean time, as a part of it, until it is measured.
+	unknownDeviation = 0.4
+	// deviationScale turns a mean absolute deviation into the scale of a logistic
+	// distribution.
+	deviationScale = 0.69
 	// firstEjection and longestEjection bound how long an upstream that failed
 	// is avoided; the time doubles with each failure in a row.
 	firstEjection   = 300 * time.Millisecond
@@ -115,14 +121,19 @@
 // Balancer knows the candidates of all services. It is used under its owner's
 // lock.
 type Balancer struct {
-	zone     string
-	members  map[string]*Candidate
-	services map[string][]*Candidate
+	zone string
+	// bytes is the mean size of both bodies of a kind of call.
+	bytes map[string]float64
+	// deviation is the mean absolute deviation of a kind of call from the mean
+	// time at its upstream, as a part of that time.
+	deviation map[string]float64
+	members   map[string]*Candidate
+	services  map[string][]*Candidate
 }
 
 // New returns a balancer for a node in the given zone.
 func New(zone string) *Balancer {
-	return &Balancer{zone: zone, members: map[string]*Candidate{}, services: map[string][]*Candidate{}}
+	return &Balancer{zone: zone, bytes: map[string]float64{}, deviation: map[string]float64{}, members: map[string]*Candidate{}, services: map[string][]*Candidate{}}
 }
 
 // Update takes in a member's word and says whether it was news.
@@ -219,11 +230,15 @@
 // less the price of its bytes. Candidates that are used only if no other is left
 // go below zero.
 func (b *Balancer) worth(c *Candidate, n Need, expected time.Duration, now time.Time) float64 {
-	inTime := chance(expected, n.Objective)
-	served := chance(expected, n.Remaining)
+	deviation, known := b.deviation[n.Kind]
+	if !known {
+		deviation = unknownDeviation
+	}
+	inTime := chance(expected, n.Objective, deviation)
+	served := chance(expected, n.Remaining, deviation)
 	worth := (1 - c.failureRate) * (lateShare*served + (1-lateShare)*inTime)
 	if c.Zone != b.zone {
-		worth -= price(n)
+		worth -= b.price(n)
 	}
 	if c.Leaving || c.load.Leaving {
 		worth -= stepLeaving
@@ -237,18 +252,20 @@
 	return worth
 }
 
-func price(n Need) float64 {
+// price is the part of a call's worth that its bytes between zones cost.
+func (b *Balancer) price(n Need) float64 {
+	kilobytes := (envelopeBytes + b.bytes[n.Kind]) / 1000
 	if n.Rank == 0 {
-		return crossZonePriceUrgent
+		return kilobytes * pricePerKilobyteUrgent
 	}
-	return crossZonePrice
+	return kilobytes * pricePerKilobyte
 }
 
 // chance is the probability that a call which takes the expected time on average
 // ends within the time left: a logistic curve.
-func chance(expected, left time.Duration) float64 {
-	deviation := spread * float64(max(expected, time.Millisecond))
-	return 1 / (1 + math.Exp(float64(expected-left)/deviation))
+func chance(expected, left time.Duration, deviation float64) float64 {
+	scale := deviationScale * deviation * float64(max(expected, time.Millisecond))
+	return 1 / (1 + math.Exp(float64(expected-left)/scale))
 }
 
 // expectedTime is how long a call would take at a candidate.
@@ -295,6 +312,8 @@
 	// Answered says that the upstream gave a usable answer, in Service.
 	Answered bool
 	Service  time.Duration
+	// Bytes is the size of both bodies.
+	Bytes int
 	// Failed says that the upstream or its node misbehaved.
 	Failed bool
 	// Unreachable says that nothing can be sent there now.
@@ -317,7 +336,9 @@
 	case o.Answered:
 		c.failures = 0
 		c.failureRate -= smoothing * c.failureRate
+		b.learnDeviation(o.Kind, c.serviceTime(o.Kind), o.Service)
 		c.learn(o.Kind, o.Service)
+		b.bytes[o.Kind] += smoothing * (float64(o.Bytes) - b.bytes[o.Kind])
 	case o.Unreachable:
 		c.failures++
 		c.ejectedUntil = now.Add(min(firstEjection<<min(c.failures-1, 8), longestEjection))
@@ -326,6 +347,24 @@
 	}
 }
 
+// deviationSmoothing is the weight of the newest sample of a deviation.
+const deviationSmoothing = 0.02
+
+func (b *Balancer) learnDeviation(kind string, mean, sample time.Duration) {
+	if mean <= 0 {
+		return
+	}
+	before, known := b.deviation[kind]
+	if !known {
+		before = unknownDeviation
+	}
+	off := math.Abs(float64(sample-mean)) / float64(mean)
+	b.deviation[kind] = max(leastDeviation, before+deviationSmoothing*(min(off, 2)-before))
+}
+
+// leastDeviation keeps a run of like samples from making estimates certain.
+const leastDeviation = 0.1
+
 func (c *Candidate) learn(kind string, sample time.Duration) {
 	mean, known := c.service[kind]
 	if !known {
--- a/internal/proxy/dispatcher/placement.go
+++ b/internal/proxy/dispatcher/placement.go
@@ -116,7 +116,9 @@
 	if reply.Result.Arrived {
 		p.arrivals++
 	}
-	p.d.learn(c, outcomeOf(reply, p.match.Name))
+	outcome := outcomeOf(reply, p.match.Name)
+	outcome.Bytes = len(p.call.Body) + len(reply.Result.Answer.Body)
+	p.d.learn(c, outcome)
 	p.d.Observe.HeardVersion(reply.Version)
 	p.event.Attempts = append(p.event.Attempts, Attempt{
 		Node: m.Node, Instance: m.Instance, Outcome: reply.Result.Outcome, Reason: reply.Result.Reason,
--- a/internal/proxy/executor/executor.go
+++ b/internal/proxy/executor/executor.go
@@ -59,9 +59,9 @@
 	dialect Dialect
 	pool    *pool
 
-	mu               sync.Mutex
-	tracker          *tracker.Tracker
-	queue            *queuer.Queue
+	mu      sync.Mutex
+	tracker *tracker.Tracker
+	queue   *queuer.Queue
 	// running holds the IDs of the calls that the upstream runs.
 	running          map[string]int
 	unreachableUntil time.Time
--- a/internal/proxy/fencer/fencer.go
+++ b/internal/proxy/fencer/fencer.go
@@ -17,9 +17,9 @@
 	answerMemory = 2 * time.Second
 )
 
-// HandOver names one hand-over: the sender's start and its count.
+// HandOver names one hand-over: the sending process and its count.
 type HandOver struct {
-	Sender string
+	Sender uint64
 	Number uint64
 }
 
--- a/internal/proxy/finder/finder.go
+++ b/internal/proxy/finder/finder.go
@@ -24,13 +24,13 @@
 	roundTime = time.Second
 	// renewRounds and readRounds are how many rounds there are for one renewal
 	// and for one reading of all entries.
-	renewRounds = 2
-	readRounds  = 4
+	renewRounds = 3
+	readRounds  = 6
 	// tellTimeout bounds one message to another node.
 	tellTimeout = 2 * time.Second
 	// firstReport is how long a new node waits for its upstream before it
 	// registers without one.
-	firstReport = 2 * time.Second
+	firstReport = 4 * time.Second
 )
 
 // Directory is the node's knowledge of the members.
--- a/internal/proxy/forwarder/forwarder.go
+++ b/internal/proxy/forwarder/forwarder.go
@@ -10,8 +10,9 @@
 
 import (
 	"context"
+	"fmt"
+	"hash/fnv"
 	"net"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -37,7 +38,7 @@
 
 // Forwarder is the sending side.
 type Forwarder struct {
-	name   string
+	sender uint64
 	dialer *net.Dialer
 	number atomic.Uint64
 
@@ -48,7 +49,7 @@
 // New returns a forwarder of the process that began at start.
 func New(node string, start int64) *Forwarder {
 	return &Forwarder{
-		name: node + "/" + strconv.FormatInt(start, 36),
+		sender: senderOf(node, start),
 		dialer: &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: time.Second, Interval: time.Second, Count: 2,
 		}},
@@ -56,6 +57,13 @@
 	}
 }
 
+// senderOf names a process in few bytes.
+func senderOf(node string, start int64) uint64 {
+	h := fnv.New64a()
+	_, _ = fmt.Fprintf(h, "%s/%d", node, start)
+	return h.Sum64()
+}
+
 func (f *Forwarder) peer(address string) *peer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -89,7 +97,7 @@
 func (f *Forwarder) Forward(ctx context.Context, m balancer.Member, job executor.Job) RunReply {
 	began := time.Now()
 	p := f.peer(m.Address)
-	args := RunArgs{HandOver: fencer.HandOver{Sender: f.name, Number: f.number.Add(1)}, Start: m.Start, Job: job}
+	args := RunArgs{HandOver: fencer.HandOver{Sender: f.sender, Number: f.number.Add(1)}, Start: m.Start, Job: job}
 	sent := false
 	for rejoins := 0; ; rejoins++ {
 		l, err := p.connect(ctx)
--- a/internal/proxy/subscriber/subscriber.go
+++ b/internal/proxy/subscriber/subscriber.go
@@ -1,10 +1,10 @@
 // Package subscriber keeps a node on the newest configuration. A version never
 // goes back within the life of a process.
 //
-// In each availability zone two nodes follow the platform's store, the relays.
-// The others keep a question open at both of them, and follow the store
-// themselves as soon as neither relay answers or hears of changes itself. While
-// the store fails, any other node is asked.
+// In each availability zone the first node follows the platform's store. The
+// second asks the first, the others ask both: these two are the zone's relays. A
+// node whose relays do not answer, or hear of no changes themselves, follows the
+// store itself. While the store fails too, any other node is asked.
 package subscriber
 
 import (
@@ -33,7 +33,7 @@
 	peerWait = time.Second
 	// peerPause is the pause between questions to other nodes.
 	peerPause = 250 * time.Millisecond
-	// relayCount is how many nodes of a zone follow the store.
+	// relayCount is how many nodes of a zone pass changes on to the others.
 	relayCount = 2
 	// relayWait is how long a relay may take to tell of a newer version.
 	relayWait = 2 * time.Second
@@ -140,8 +140,8 @@
 	}
 }
 
-// mustFollow says whether the node follows the store itself: it is a relay, or
-// no relay is of use to it.
+// mustFollow says whether the node follows the store itself: no relay tells it
+// of changes. The first node of a zone has none.
 func (s *Subscriber) mustFollow() bool {
 	for i := range relayCount {
 		if s.relayed[i].Load() {
@@ -151,36 +151,50 @@
 	return true
 }
 
-// setFollowing returns what it was before. Those who wait for a version from
-// this node are woken when it stops to hear of changes.
+// fresh says that the node hears of changes, from the store or from a relay.
+func (s *Subscriber) fresh() bool { return s.following.Load() || !s.mustFollow() }
+
+// setFollowing returns what it was before.
 func (s *Subscriber) setFollowing(follows bool) bool {
 	before := s.following.Swap(follows)
-	if before && !follows {
-		s.mu.Lock()
-		s.wake()
-		s.mu.Unlock()
-	}
+	s.tellStale()
 	return before
 }
 
+func (s *Subscriber) setRelayed(index int, relayed bool) {
+	if s.relayed[index].Swap(relayed) != relayed {
+		s.tellStale()
+	}
+}
+
+// tellStale wakes those who wait for a version from this node when it does not
+// hear of changes any more.
+func (s *Subscriber) tellStale() {
+	if s.fresh() {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.wake()
+}
+
 func (s *Subscriber) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
 // relay returns the address of a relay that this node asks; empty if there is
-// none or if the node is a relay itself.
+// none. A relay asks those before it.
 func (s *Subscriber) relay(index int) string {
-	candidates := s.config.Relays()
-	for i := range min(relayCount, len(candidates)) {
-		if candidates[i] == s.config.Own {
+	for i, address := range s.config.Relays() {
+		if address == s.config.Own {
 			return ""
 		}
+		if i == index {
+			return address
+		}
 	}
-	if index >= len(candidates) {
-		return ""
-	}
-	return candidates[index]
+	return ""
 }
 
 // followRelay keeps a question open at one relay.
@@ -188,14 +202,14 @@
 	for ctx.Err() == nil {
 		address := s.relay(index)
 		if address == "" {
-			s.relayed[index].Store(false)
+			s.setRelayed(index, false)
 			if !pauser.Pause(ctx, rolePause) {
 				return
 			}
 			continue
 		}
 		reply, err := s.ask(ctx, address, relayWait)
-		s.relayed[index].Store(err == nil && reply.Following)
+		s.setRelayed(index, err == nil && reply.Following)
 		if err == nil && reply.Version > s.Version() {
 			s.apply(reply.Data, "relay")
 		}
@@ -324,13 +338,13 @@
 		data, changed := s.data, s.changed
 		s.mu.Unlock()
 		if version := s.Version(); version > have {
-			return forwarder.ConfigurationReply{Version: version, Data: data, Following: s.following.Load()}
+			return forwarder.ConfigurationReply{Version: version, Data: data, Following: s.fresh()}
 		}
 		select {
 		case <-ctx.Done():
-			return forwarder.ConfigurationReply{Following: s.following.Load()}
+			return forwarder.ConfigurationReply{Following: s.fresh()}
 		case <-changed:
-			if !s.following.Load() && s.Version() <= have {
+			if !s.fresh() && s.Version() <= have {
 				return forwarder.ConfigurationReply{}
 			}
 		}
