--- /dev/null
+++ b/internal/proxy/fencer/fencer_test.go
@@ -0,0 +1,75 @@
+package fencer
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
+)
+
+var now = time.Unix(1000, 0)
+
+var name = HandOver{Sender: 1, Number: 7}
+
+func run() carrier.Result {
+	return carrier.Result{Outcome: carrier.Run, Answer: carrier.Answer{Status: 200}}
+}
+
+func TestHandOverBeginsOnce(t *testing.T) {
+	Convey("A repeat joins the execution and gets its result", t, func() {
+		f := New()
+		first, isNew := f.Begin(name, func() {}, now)
+		So(isNew, ShouldBeTrue)
+		again, isNew := f.Begin(name, func() {}, now)
+		So(isNew, ShouldBeFalse)
+		So(again, ShouldEqual, first)
+		f.Finish(first, run(), now)
+		<-again.Done
+		So(again.Result.Outcome, ShouldEqual, carrier.Run)
+	})
+	Convey("A repeat that comes after the answer was dropped is not run again", t, func() {
+		f := New()
+		e, _ := f.Begin(name, func() {}, now)
+		f.Finish(e, run(), now)
+		again, isNew := f.Begin(name, func() {}, now.Add(memory/2))
+		So(isNew, ShouldBeFalse)
+		So(again.Result.Outcome, ShouldEqual, carrier.Unknown)
+	})
+	Convey("A refusal stays a refusal", t, func() {
+		f := New()
+		e, _ := f.Begin(name, func() {}, now)
+		f.Finish(e, carrier.Refuse(carrier.Draining), now)
+		again, _ := f.Begin(name, func() {}, now.Add(memory/2))
+		So(again.Result.Outcome, ShouldEqual, carrier.NotRun)
+	})
+}
+
+func TestRevokedHandOverNeverBegins(t *testing.T) {
+	Convey("A hand-over that comes after its revocation is refused as not run", t, func() {
+		f := New()
+		So(f.Revoke(name, now), ShouldBeNil)
+		e, isNew := f.Begin(name, func() {}, now)
+		So(isNew, ShouldBeFalse)
+		So(e.Result.Outcome, ShouldEqual, carrier.NotRun)
+	})
+	Convey("A running one is returned for its end, a finished one is not", t, func() {
+		f := New()
+		e, _ := f.Begin(name, func() {}, now)
+		So(f.Revoke(name, now), ShouldEqual, e)
+		f.Finish(e, run(), now)
+		So(f.Revoke(name, now), ShouldBeNil)
+	})
+}
+
+func TestNamesAreForgotten(t *testing.T) {
+	Convey("Finished hand-overs are remembered for a bounded time", t, func() {
+		f := New()
+		for i := range 1000 {
+			e, _ := f.Begin(HandOver{Sender: 1, Number: uint64(i)}, func() {}, now.Add(time.Duration(i)*time.Second))
+			f.Finish(e, run(), now.Add(time.Duration(i)*time.Second))
+		}
+		So(len(f.entries), ShouldBeLessThanOrEqualTo, int(memory/time.Second)+2)
+	})
+}
--- /dev/null
+++ b/internal/proxy/router/router_test.go
@@ -0,0 +1,66 @@
+package router
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func table(routes ...Route) *Table { return New(Configuration{Version: 1, Routes: routes}, nil) }
+
+func route(host, prefix string, backends ...Backend) Route {
+	return Route{Name: host + prefix, Host: host, Prefix: prefix, Backends: backends}
+}
+
+func TestLongestPrefixOfTheHostWins(t *testing.T) {
+	t1 := table(
+		route("a.example", "/", Backend{"root", 1}),
+		route("a.example", "/x/", Backend{"x", 1}),
+		route("a.example", "/x/y/", Backend{"y", 1}),
+		route("b.example", "/x/", Backend{"b", 1}),
+	)
+	cases := []struct{ host, target, service string }{
+		{"a.example", "/x/y/z", "y"},
+		{"a.example", "/x/z", "x"},
+		{"a.example", "/x", "root"},
+		{"A.EXAMPLE:8080", "/x/?q=/x/y/", "x"},
+		{"b.example", "/x/1", "b"},
+		{"b.example", "/y/", ""},
+		{"c.example", "/", ""},
+	}
+	Convey("Routes", t, func() {
+		for _, c := range cases {
+			match, found := t1.Lookup(c.host, c.target)
+			So(found, ShouldEqual, c.service != "")
+			So(match.Service, ShouldEqual, c.service)
+		}
+	})
+}
+
+func TestWeightsStayExactAcrossVersions(t *testing.T) {
+	Convey("A stream of versions does not begin the proportion anew", t, func() {
+		r := route("a", "/", Backend{"big", 9}, Backend{"small", 1})
+		current := table(r)
+		counts := map[string]int{}
+		for i := range 1000 {
+			if i%3 == 0 {
+				current = New(Configuration{Version: int64(i), Routes: []Route{r}}, current)
+			}
+			match, _ := current.Lookup("a", "/")
+			counts[match.Service]++
+		}
+		So(counts["big"], ShouldEqual, 900)
+		So(counts["small"], ShouldEqual, 100)
+	})
+	Convey("Changed weights begin at once", t, func() {
+		current := table(route("a", "/", Backend{"big", 9}, Backend{"small", 1}))
+		_, _ = current.Lookup("a", "/")
+		next := New(Configuration{Routes: []Route{route("a", "/", Backend{"big", 1}, Backend{"small", 9})}}, current)
+		counts := map[string]int{}
+		for range 10 {
+			match, _ := next.Lookup("a", "/")
+			counts[match.Service]++
+		}
+		So(counts["small"], ShouldEqual, 9)
+	})
+}
