--- a/internal/proxy/assembler/fault_test.go
+++ b/internal/proxy/assembler/fault_test.go
@@ -205,6 +205,8 @@
 			So(n.Control(context.Background(), "instances.heartbeat", "i-forged", []byte(body)), ShouldEqual, http.StatusBadRequest)
 		}
 		So(n.Proxy.Own(), ShouldResemble, good)
+		// Lines are written in the background.
+		time.Sleep(time.Millisecond)
 		So(strings.Count(n.Log.String(), "reportRefused"), ShouldEqual, len(bodies))
 	})
 }
--- a/internal/proxy/balancer/balancer.go
+++ b/internal/proxy/balancer/balancer.go
@@ -187,6 +187,15 @@
 // Pick returns the candidate from which the call can expect most, or nil if every
 // one was tried.
 func (b *Balancer) Pick(n Need, now time.Time) *Candidate {
+	best := b.best(n, now)
+	if best != nil {
+		best.outstanding++
+		best.sinceLoad++
+	}
+	return best
+}
+
+func (b *Balancer) best(n Need, now time.Time) *Candidate {
 	var best *Candidate
 	var bestTime time.Duration
 	bestWorth := 0.0
@@ -200,10 +209,6 @@
 			best, bestWorth, bestTime = c, worth, expected
 		}
 	}
-	if best != nil {
-		best.outstanding++
-		best.sinceLoad++
-	}
 	return best
 }
 
@@ -376,3 +381,39 @@
 
 // Size returns the number of members.
 func (b *Balancer) Size() int { return len(b.members) }
+
+// Expected returns the mean time of a kind of call over the upstreams of its
+// service, and its mean deviation as a part of that; zero if nothing is known.
+func (b *Balancer) Expected(service, kind string) (time.Duration, float64) {
+	var sum time.Duration
+	known := 0
+	for _, c := range b.services[service] {
+		if mean, learned := c.service[kind]; learned {
+			sum += mean
+			known++
+		}
+	}
+	if known == 0 {
+		return 0, 0
+	}
+	deviation, measured := b.deviation[kind]
+	if !measured {
+		deviation = unknownDeviation
+	}
+	return sum / time.Duration(known), deviation
+}
+
+// roomShare is the part of its slots that an upstream may use and still have
+// room for a call that need not run there.
+const roomShare = 0.8
+
+// HasRoom says whether the candidate that Pick would choose has a slot free and
+// is likely to answer before the call's deadline.
+func (b *Balancer) HasRoom(n Need, now time.Time) bool {
+	c := b.best(n, now)
+	if c == nil || now.Before(c.ejectedUntil) || now.Before(c.fullUntil) || c.Leaving {
+		return false
+	}
+	busy := max(c.outstanding, c.load.InUse+c.load.Waiting)
+	return float64(busy) < roomShare*float64(c.Slots) && b.expectedTime(c, n, now) < n.Remaining
+}
--- a/internal/proxy/dispatcher/dispatcher.go
+++ b/internal/proxy/dispatcher/dispatcher.go
@@ -223,3 +223,19 @@
 	defer d.mu.Unlock()
 	f(d.Balancer)
 }
+
+// expected returns the mean time of a kind of call over the upstreams of its
+// service, and its deviation as a part of that; zero if nothing is known.
+func (d *Dispatcher) expected(service, kind string) (time.Duration, float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.Balancer.Expected(service, kind)
+}
+
+// hasRoom says whether an upstream that was not tried could answer the call in
+// time without a wait.
+func (d *Dispatcher) hasRoom(n balancer.Need) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.Balancer.HasRoom(n, time.Now())
+}
