acceptor, dispatcher: a connection's goroutine answers call after call

Cause: each call started three goroutines whose stacks grew anew (a tenth of the processor time of a loopback profile). Change: the first hand-over runs in the call's own goroutine, a hedge starts from a timer; each caller's connection keeps one goroutine for its answers.

--- a/internal/proxy/acceptor/conn.go
+++ b/internal/proxy/acceptor/conn.go
@@ -30,8 +30,19 @@
 // errHeaderTooLarge says that a request head exceeds its limit.
 var errHeaderTooLarge = errors.New("the request head is too large")
 
-// conn is one caller's connection. One goroutine reads requests; one for each
-// call waits for its answer and then for its turn to write it.
+// task is one call on its way through a connection.
+type task struct {
+	call     carrier.Call
+	received time.Time
+	// last says that the caller wants no further answer on the connection.
+	last bool
+	// previous is closed when the answer before this one is written, written when
+	// this one is.
+	previous, written chan struct{}
+}
+
+// conn is one caller's connection. One goroutine reads requests and one answers
+// them; while that one is busy, a further goroutine answers each call that comes.
 type conn struct {
 	a      *Acceptor
 	raw    net.Conn
@@ -43,6 +54,9 @@
 	// ended is set when an answer said that it is the last one.
 	ended atomic.Bool
 	slots chan struct{}
+	work  chan task
+	// waiting says that a goroutine takes calls from work.
+	waiting atomic.Bool
 }
 
 // limitedReader fails once more than its allowance was read.
@@ -69,6 +83,7 @@
 	return &conn{
 		a: a, raw: raw, limit: limit, reader: bufio.NewReaderSize(limit, readBuffer),
 		writer: bufio.NewWriterSize(raw, writeBuffer), slots: make(chan struct{}, maxPipelined),
+		work: make(chan task),
 	}
 }
 
@@ -77,6 +92,7 @@
 func (c *conn) serve() {
 	ctx, leave := context.WithCancel(context.Background())
 	defer c.a.forget(c)
+	defer close(c.work)
 	previous := make(chan struct{})
 	close(previous)
 	for {
@@ -97,7 +113,7 @@
 		written := make(chan struct{})
 		c.open.Add(1)
 		c.a.inFlight.Add(1)
-		go c.answer(ctx, call, received, request.Close, previous, written)
+		c.begin(ctx, task{call: call, received: received, last: request.Close, previous: previous, written: written})
 		previous = written
 		if request.Close {
 			c.awaitEnd()
@@ -208,24 +224,45 @@
 	return size
 }
 
+// begin hands a call to the goroutine that waits for one, or to a new one.
+func (c *conn) begin(ctx context.Context, t task) {
+	select {
+	case c.work <- t:
+	default:
+		go func() {
+			c.answer(ctx, t)
+			c.wait(ctx)
+		}()
+	}
+}
+
+// wait answers calls until the connection ends, or hands over to another
+// goroutine that does so already.
+func (c *conn) wait(ctx context.Context) {
+	if !c.waiting.CompareAndSwap(false, true) {
+		return
+	}
+	for t := range c.work {
+		c.answer(ctx, t)
+	}
+}
+
 // answer handles one call and writes its answer in turn.
-func (c *conn) answer(
-	ctx context.Context, call carrier.Call, received time.Time, last bool, previous, written chan struct{},
-) {
+func (c *conn) answer(ctx context.Context, t task) {
 	response := stoppingResponse
-	if !c.a.stopping.Load() || c.a.handler.Nested(call) {
-		response = c.a.handler.Handle(ctx, call, received)
+	if !c.a.stopping.Load() || c.a.handler.Nested(t.call) {
+		response = c.a.handler.Handle(ctx, t.call, t.received)
 	}
-	<-previous
+	<-t.previous
 	// A connection ends only behind the last call that was read from it.
-	last = last || (c.a.stopping.Load() && c.open.Load() == 1)
+	last := t.last || (c.a.stopping.Load() && c.open.Load() == 1)
 	if !c.ended.Load() {
-		c.write(call, response, last)
+		c.write(t.call, response, last)
 	}
 	c.open.Add(-1)
 	c.a.inFlight.Add(-1)
 	<-c.slots
-	close(written)
+	close(t.written)
 }
 
 // stoppingPause is when the caller of a stopping node may come back.
--- a/internal/proxy/dispatcher/hedge.go
+++ b/internal/proxy/dispatcher/hedge.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
 )
 
 const (
@@ -27,12 +29,45 @@
 	return time.Duration((1 + hedgeDeviations*deviation) * float64(mean))
 }
 
-// hedge sends the call to a second upstream that has room, if that can still
-// answer in time.
-func (p *placement) hedge(ctx context.Context) {
-	if p.hedged || p.open != 1 || !p.mayArriveAgain() || !p.d.hasRoom(p.need()) {
-		return
+// runHedged hands the call over and, once it has been silent for the delay, to a
+// second node as well. The first final result ends the other hand-over.
+func (p *placement) runHedged(ctx context.Context, h handOver, delay time.Duration) carrier.Result {
+	firstCtx, endFirst := context.WithCancel(ctx)
+	defer endFirst()
+	secondCtx, endSecond := context.WithCancel(ctx)
+	defer endSecond()
+	var second carrier.Result
+	hedged := false
+	done := make(chan struct{})
+	timer := time.AfterFunc(delay, func() {
+		defer close(done)
+		if second, hedged = p.hedge(secondCtx); hedged && p.isFinal(second) {
+			endFirst()
+		}
+	})
+	first := p.run(firstCtx, h)
+	if timer.Stop() {
+		return first
+	}
+	if p.isFinal(first) {
+		endSecond()
+	}
+	<-done
+	if !hedged {
+		return first
+	}
+	return combine(first, second, false)
+}
+
+// hedge sends the call to a second node whose upstream has room, and says
+// whether it did.
+func (p *placement) hedge(ctx context.Context) (carrier.Result, bool) {
+	if !p.mayArriveAgain() || !p.d.hasRoom(p.need()) {
+		return carrier.Result{}, false
+	}
+	h, found := p.next()
+	if !found {
+		return carrier.Result{}, false
 	}
-	p.hedged = true
-	p.next(ctx)
+	return p.run(ctx, h), true
 }
--- a/internal/proxy/dispatcher/placement.go
+++ b/internal/proxy/dispatcher/placement.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/tamarackscale/tamarackscale/internal/proxy/balancer"
@@ -20,7 +21,7 @@
 	leastLeft = 10 * time.Millisecond
 )
 
-// placement is the way of one call. All of it but send runs in one goroutine.
+// placement is the way of one call. A hedge runs beside its first hand-over.
 type placement struct {
 	d        *Dispatcher
 	match    router.Match
@@ -29,54 +30,44 @@
 	patience time.Duration
 	event    *Event
 
+	mu    sync.Mutex
 	tried []string
 	// arrivals counts the upstreams that got the call.
 	arrivals int
 	// open counts the hand-overs without a result.
-	open    int
-	hedged  bool
-	results chan handOver
+	open int
 }
 
-// handOver is one hand-over, with its result once there is one.
+// handOver is one hand-over of a call to a node.
 type handOver struct {
 	candidate *balancer.Candidate
 	member    balancer.Member
 	began     time.Time
-	reply     forwarder.RunReply
 }
 
 // place hands the call over until an upstream has answered or no further
 // hand-over is allowed. The result speaks for all of them.
 func (p *placement) place(ctx context.Context) carrier.Result {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	p.d.count(p.match.Service)
-	p.results = make(chan handOver, maxHandOvers)
 	best := carrier.Refuse(carrier.NoEndpoint)
-	if !p.next(ctx) {
-		return best
-	}
-	hedge := time.NewTimer(p.hedgeDelay())
-	defer hedge.Stop()
-	for first := true; p.open > 0; {
-		select {
-		case h := <-p.results:
-			p.open--
-			result := p.learn(h)
-			best = combine(best, result, first)
-			first = false
-			if p.isFinal(result) {
-				return best
-			}
-			if p.goOn(ctx, result) {
-				p.next(ctx)
-			}
-		case <-hedge.C:
-			p.hedge(ctx)
+	hedgeAfter := p.hedgeDelay()
+	for first := true; ; first = false {
+		h, found := p.next()
+		if !found {
+			return best
+		}
+		var result carrier.Result
+		if hedgeAfter < p.left() {
+			result = p.runHedged(ctx, h, hedgeAfter)
+		} else {
+			result = p.run(ctx, h)
+		}
+		hedgeAfter = never
+		best = combine(best, result, first)
+		if p.isFinal(result) || !p.goOn(ctx, result) {
+			return best
 		}
 	}
-	return best
 }
 
 // combine keeps what speaks for all hand-overs: an answer goes before a failure,
@@ -114,6 +105,8 @@
 
 // mayArriveAgain says whether the call may be sent to one more upstream.
 func (p *placement) mayArriveAgain() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	return p.arrivals+p.open < p.match.MaxAttempts && len(p.tried) < maxHandOvers && p.left() > leastLeft
 }
 
@@ -135,24 +128,28 @@
 	}
 }
 
-// next hands the call over to the best node that was not tried, within the
-// budget of repeats, and says whether it did.
-func (p *placement) next(ctx context.Context) bool {
+// next chooses the node for the next hand-over, within the budget of repeats.
+func (p *placement) next() (handOver, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.tried) >= maxHandOvers {
+		return handOver{}, false
+	}
 	if p.arrivals+p.open > 0 && !p.d.mayRepeat(p.match.Service) {
-		return false
+		return handOver{}, false
 	}
 	candidate, member := p.d.choose(p.need())
 	if candidate == nil {
-		return false
+		return handOver{}, false
 	}
 	p.tried = append(p.tried, member.Node)
 	p.open++
-	job := p.job()
-	began := time.Now()
-	go func() {
-		p.results <- handOver{candidate: candidate, member: member, began: began, reply: p.send(ctx, member, job)}
-	}()
-	return true
+	return handOver{candidate: candidate, member: member, began: time.Now()}, true
+}
+
+// run hands the call over and takes in how that ended.
+func (p *placement) run(ctx context.Context, h handOver) carrier.Result {
+	return p.learn(h, p.send(ctx, h.member, p.job()))
 }
 
 func (p *placement) job() executor.Job {
@@ -173,18 +170,21 @@
 }
 
 // learn takes in how a hand-over ended.
-func (p *placement) learn(h handOver) carrier.Result {
-	r := h.reply.Result
+func (p *placement) learn(h handOver, reply forwarder.RunReply) carrier.Result {
+	r := reply.Result
+	outcome := outcomeOf(reply, p.match.Name)
+	outcome.Bytes = len(p.call.Body) + len(r.Answer.Body)
+	p.d.learn(h.candidate, outcome)
+	p.d.Observe.HeardVersion(reply.Version)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open--
 	if r.Arrived {
 		p.arrivals++
 	}
-	outcome := outcomeOf(h.reply, p.match.Name)
-	outcome.Bytes = len(p.call.Body) + len(r.Answer.Body)
-	p.d.learn(h.candidate, outcome)
-	p.d.Observe.HeardVersion(h.reply.Version)
 	p.event.Attempts = append(p.event.Attempts, Attempt{
 		Node: h.member.Node, Instance: h.member.Instance, Outcome: r.Outcome, Reason: r.Reason,
-		Status: r.Answer.Status, Took: time.Since(h.began), Service: h.reply.Service,
+		Status: r.Answer.Status, Took: time.Since(h.began), Service: reply.Service,
 	})
 	return r
 }
