forwarder, stopper: silent nodes are suspected at once, a stopping node is used longer

Change: a call waits 200 ms for a connection and then goes elsewhere; a link that is silent for 500 ms makes its node suspect for all calls; ejections last 2 s at most; a stopping node announces itself after 1.6 s and refuses calls of others after 2.1 s. Lines carry the hand-overs as fields, with the load; metrics have an address of their own.

--- a/internal/observe/reporter/reporter.go
+++ b/internal/observe/reporter/reporter.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,6 +30,8 @@
 	writer   *Writer
 	registry *prometheus.Registry
 	calls    *prometheus.HistogramVec
+	upstream *prometheus.HistogramVec
+	queue    *prometheus.HistogramVec
 	ends     *prometheus.CounterVec
 	attempts *prometheus.CounterVec
 	store    *prometheus.CounterVec
@@ -59,19 +60,23 @@
 		registry:   prometheus.NewRegistry(),
 		suppressed: map[carrier.Reason]int{},
 	}
-	r.calls = prometheus.NewHistogramVec(prometheus.HistogramOpts{
-		Name: "tamarackscale_call_seconds", Help: "Whole time of a call.", Buckets: latencyBuckets,
-	}, []string{"service", "rank", "outcome"})
+	r.calls = histogram("tamarackscale_call_seconds", "Whole time of a call.", "service", "rank", "outcome")
+	r.upstream = histogram("tamarackscale_upstream_seconds", "Time of a hand-over at the upstream.", "service")
+	r.queue = histogram("tamarackscale_queue_seconds", "Time of a hand-over in queues and between nodes.", "service")
 	r.ends = counter("tamarackscale_calls_total", "Calls by how they ended.", "service", "status", "reason")
 	r.attempts = counter("tamarackscale_hand_overs_total", "Hand-overs by how they ended.", "service", "outcome", "reason")
 	r.store = counter("tamarackscale_store_calls_total", "Calls to the platform's store.", "operation", "result")
 	r.version = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "tamarackscale_configuration_version", Help: "Configuration version in force.",
 	})
-	r.registry.MustRegister(r.calls, r.ends, r.attempts, r.store, r.version)
+	r.registry.MustRegister(r.calls, r.upstream, r.queue, r.ends, r.attempts, r.store, r.version)
 	return r
 }
 
+func histogram(name, help string, labels ...string) *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: name, Help: help, Buckets: latencyBuckets}, labels)
+}
+
 func counter(name, help string, labels ...string) *prometheus.CounterVec {
 	return prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, labels)
 }
@@ -96,6 +101,8 @@
 	r.calls.WithLabelValues(e.Service, strconv.Itoa(e.Rank), e.Result.Outcome.String()).Observe(e.Took.Seconds())
 	r.ends.WithLabelValues(e.Service, strconv.Itoa(e.Status), string(e.Result.Reason)).Inc()
 	for _, a := range e.Attempts {
+		r.upstream.WithLabelValues(e.Service).Observe(a.Service.Seconds())
+		r.queue.WithLabelValues(e.Service).Observe((a.Took - a.Service).Seconds())
 		r.attempts.WithLabelValues(e.Service, a.Outcome.String(), string(a.Reason)).Inc()
 	}
 	plain := e.Result.Outcome == carrier.Run && e.Status < http.StatusInternalServerError && len(e.Attempts) == 1
@@ -110,18 +117,32 @@
 	}).Info("call ended")
 }
 
-// describe renders hand-overs as node/instance:outcome:reason:status:took/service.
-func describe(attempts []dispatcher.Attempt) string {
-	var text strings.Builder
-	for i, a := range attempts {
-		if i > 0 {
-			text.WriteByte(' ')
-		}
-		text.WriteString(a.Node + "/" + a.Instance + ":" + a.Outcome.String() + ":" + string(a.Reason) + ":" +
-			strconv.Itoa(a.Status) + ":" + strconv.FormatInt(a.Took.Milliseconds(), 10) + "/" +
-			strconv.FormatInt(a.Service.Milliseconds(), 10) + "ms")
+// handOver is one hand-over as it stands in a line. Times are in milliseconds.
+type handOver struct {
+	Node     string `json:"node"`
+	Instance string `json:"instance"`
+	Outcome  string `json:"outcome"`
+	Reason   string `json:"reason,omitempty"`
+	Status   int    `json:"status,omitempty"`
+	TookMs   int64  `json:"tookMs"`
+	// UpstreamMs is the part of TookMs at the upstream.
+	UpstreamMs int64 `json:"upstreamMs"`
+	// InUse, Slots and Waiting are the load when the result was sent.
+	InUse   int `json:"inUse"`
+	Slots   int `json:"slots"`
+	Waiting int `json:"waiting"`
+}
+
+func describe(attempts []dispatcher.Attempt) []handOver {
+	handOvers := make([]handOver, 0, len(attempts))
+	for _, a := range attempts {
+		handOvers = append(handOvers, handOver{
+			Node: a.Node, Instance: a.Instance, Outcome: a.Outcome.String(), Reason: string(a.Reason), Status: a.Status,
+			TookMs: a.Took.Milliseconds(), UpstreamMs: a.Service.Milliseconds(),
+			InUse: a.Load.InUse, Slots: a.Load.Slots, Waiting: a.Load.Waiting,
+		})
 	}
-	return text.String()
+	return handOvers
 }
 
 // admit says whether another line about a call may be written in this second.
--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -62,6 +62,8 @@
 	listeners []net.Listener
 	ended     sync.Once
 	sequence  atomic.Uint64
+	// stopping says that the process is about to end, leaving that the others know.
+	stopping  atomic.Bool
 	leaving   atomic.Bool
 	found     atomic.Bool
 	known     chan struct{}
@@ -98,6 +100,9 @@
 	})
 	p.acceptor = acceptor.New(platform.HTTP{}, p.dispatcher)
 	p.report.OnHint(p.subscriber.Hint)
+	p.forwarder.OnSilent(func(address string) {
+		p.dispatcher.Members(func(b *balancer.Balancer) { b.Suspect(address, time.Now()) })
+	})
 	p.Learn(p.Own())
 	return p, nil
 }
@@ -146,7 +151,14 @@
 	go p.receiver.Serve(peers)
 	go p.acceptor.Serve(callers)
 	p.serveHTTP(control, platform.ControlHandler(p))
-	p.serveHTTP(readiness, p.readinessHandler())
+	p.serveHTTP(readiness, platform.ReadinessHandler(p.ready))
+	if s.Listen.Metrics != "" {
+		metrics, err := p.listen(s.Listen.Metrics)
+		if err != nil {
+			return err
+		}
+		p.serveHTTP(metrics, p.report.Handler())
+	}
 	go p.subscriber.Run(ctx)
 	go p.finder.Run(ctx)
 	go func() {
@@ -176,18 +188,10 @@
 	return l, nil
 }
 
-// readinessHandler also serves the metrics, under /metrics.
-func (p *Proxy) readinessHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", p.report.Handler())
-	mux.Handle("/", platform.ReadinessHandler(p.ready))
-	return mux
-}
-
 // ready says whether the node takes calls: it has a configuration, has looked
 // for the other nodes, and does not stop.
 func (p *Proxy) ready() bool {
-	return p.subscriber.Table() != nil && p.found.Load() && !p.leaving.Load()
+	return p.subscriber.Table() != nil && p.found.Load() && !p.stopping.Load()
 }
 
 // Close ends the proxy at once. The context of Start must have ended, or end soon.
--- a/internal/proxy/assembler/stopper.go
+++ b/internal/proxy/assembler/stopper.go
@@ -5,9 +5,10 @@
 )
 
 const (
-	// placeTime is how long a stopping node takes calls of other nodes, which by
-	// then know that it stops.
-	placeTime = 800 * time.Millisecond
+	// announceTime is when a stopping node tells the others, placeTime when it
+	// refuses their calls. Until then its upstream is of full use.
+	announceTime = 1600 * time.Millisecond
+	placeTime    = 2100 * time.Millisecond
 	// noticeTime is how long a stopping node goes on taking calls: by then it
 	// was asked twice whether it is ready.
 	noticeTime = 2300 * time.Millisecond
@@ -19,16 +20,18 @@
 	pollTime = 20 * time.Millisecond
 )
 
-// Stop drains the node. It is not ready any more and other nodes place no calls
-// here. After a while it takes no calls of other nodes; after another, none of
-// callers. Calls of the upstream, which it makes for calls that still run, are
-// served to the end.
+// Stop drains the node. It is not ready any more, but goes on as before for a
+// while. Then other nodes place no calls here, calls that still come from them
+// are refused, and at last those of callers. Calls of the upstream, which it makes
+// for calls that still run, are served to the end.
 func (p *Proxy) Stop(why string) {
 	began := time.Now()
 	p.report.Stopping(why)
+	p.stopping.Store(true)
+	time.Sleep(announceTime)
 	p.leaving.Store(true)
 	p.upstreamChanged()
-	time.Sleep(placeTime)
+	time.Sleep(placeTime - announceTime)
 	p.executor.Stop()
 	time.Sleep(noticeTime - placeTime)
 	p.acceptor.Stop()
--- a/internal/proxy/balancer/balancer.go
+++ b/internal/proxy/balancer/balancer.go
@@ -40,7 +40,7 @@
 	// firstEjection and longestEjection bound how long an upstream that failed
 	// is avoided; the time doubles with each failure in a row.
 	firstEjection   = 300 * time.Millisecond
-	longestEjection = 5 * time.Second
+	longestEjection = 2 * time.Second
 	// fullMemory is how long a refusal for want of room is believed.
 	fullMemory = 60 * time.Millisecond
 )
@@ -345,13 +345,26 @@
 		c.learn(o.Kind, o.Service)
 		b.bytes[o.Kind] += smoothing * (float64(o.Bytes) - b.bytes[o.Kind])
 	case o.Unreachable:
-		c.failures++
-		c.ejectedUntil = now.Add(min(firstEjection<<min(c.failures-1, 8), longestEjection))
+		c.eject(now)
 	case o.Failed:
 		c.failureRate += smoothing * (1 - c.failureRate)
 	}
 }
 
+// Suspect takes in that a node does not answer any more.
+func (b *Balancer) Suspect(address string, now time.Time) {
+	for _, c := range b.members {
+		if c.Address == address && !now.Before(c.ejectedUntil) {
+			c.eject(now)
+		}
+	}
+}
+
+func (c *Candidate) eject(now time.Time) {
+	c.failures++
+	c.ejectedUntil = now.Add(min(firstEjection<<min(c.failures-1, 8), longestEjection))
+}
+
 // deviationSmoothing is the weight of the newest sample of a deviation.
 const deviationSmoothing = 0.02
 
--- a/internal/proxy/dispatcher/dispatcher.go
+++ b/internal/proxy/dispatcher/dispatcher.go
@@ -72,6 +72,8 @@
 	// Took is the whole time, Service the part at the upstream.
 	Took    time.Duration
 	Service time.Duration
+	// Load is what the node said of its upstream with the result.
+	Load balancer.Load
 }
 
 // Config is what a dispatcher needs.
--- a/internal/proxy/dispatcher/placement.go
+++ b/internal/proxy/dispatcher/placement.go
@@ -185,6 +185,7 @@
 	p.event.Attempts = append(p.event.Attempts, Attempt{
 		Node: h.member.Node, Instance: h.member.Instance, Outcome: r.Outcome, Reason: r.Reason,
 		Status: r.Answer.Status, Took: time.Since(h.began), Service: reply.Service,
+		Load: reply.Load,
 	})
 	return r
 }
--- a/internal/proxy/forwarder/forwarder.go
+++ b/internal/proxy/forwarder/forwarder.go
@@ -40,6 +40,8 @@
 	sender uint64
 	dial   Dial
 	number atomic.Uint64
+	// onSilent is set once the node is put together.
+	onSilent atomic.Pointer[func(string)]
 
 	mu    sync.Mutex
 	peers map[string]*peer
@@ -61,12 +63,21 @@
 	return h.Sum64()
 }
 
+// OnSilent sets who is told that the connection to a node has gone silent.
+func (f *Forwarder) OnSilent(tell func(address string)) { f.onSilent.Store(&tell) }
+
+func (f *Forwarder) tellSilent(address string) {
+	if tell := f.onSilent.Load(); tell != nil {
+		(*tell)(address)
+	}
+}
+
 func (f *Forwarder) peer(address string) *peer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p := f.peers[address]
 	if p == nil {
-		p = &peer{address: address, connectTo: f.dial}
+		p = &peer{address: address, connectTo: f.dial, silent: f.tellSilent}
 		f.peers[address] = p
 	}
 	return p
--- a/internal/proxy/forwarder/peer.go
+++ b/internal/proxy/forwarder/peer.go
@@ -13,14 +13,21 @@
 const (
 	// dialTimeout bounds the opening of a connection to another node.
 	dialTimeout = 700 * time.Millisecond
+	// connectWait is how long a call waits for a connection to be opened. It can
+	// still go to another node then.
+	connectWait = 200 * time.Millisecond
 	// probeAfter is the silence on a connection with open calls after which it
 	// is probed, and probeTimeout the further silence after which it is dead.
-	probeAfter   = 300 * time.Millisecond
-	probeTimeout = 400 * time.Millisecond
+	probeAfter   = 200 * time.Millisecond
+	probeTimeout = 300 * time.Millisecond
 )
 
-// errSilent says that a connection carries nothing any more.
-var errSilent = errors.New("the connection has gone silent")
+var (
+	// errSilent says that a connection carries nothing any more.
+	errSilent = errors.New("the connection has gone silent")
+	// errNoConnection says that a connection was not opened in time.
+	errNoConnection = errors.New("no connection was opened in time")
+)
 
 // monitored is a connection that knows when it was last heard of.
 type monitored struct {
@@ -59,6 +66,8 @@
 type peer struct {
 	address   string
 	connectTo Dial
+	// silent is called when a link was given up for its silence.
+	silent func(address string)
 
 	mu   sync.Mutex
 	link *link
@@ -80,8 +89,12 @@
 	}
 	wait := p.dialing
 	p.mu.Unlock()
+	timer := time.NewTimer(connectWait)
+	defer timer.Stop()
 	select {
 	case <-wait:
+	case <-timer.C:
+		return nil, errNoConnection
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
@@ -148,6 +161,7 @@
 			silence := l.conn.silence(began)
 			if silence >= probeAfter+probeTimeout {
 				p.drop(l)
+				p.silent(p.address)
 				return errSilent
 			}
 			if silence >= probeAfter {
--- a/internal/settings/reader/reader.go
+++ b/internal/settings/reader/reader.go
@@ -41,6 +41,8 @@
 	Readiness string `yaml:"readiness"`
 	// Control takes what the upstream says of itself.
 	Control string `yaml:"control"`
+	// Metrics serves the metrics under /metrics; empty serves them nowhere.
+	Metrics string `yaml:"metrics"`
 	// Ports is the first and the last port for use between nodes.
 	Ports []int `yaml:"ports"`
 }
@@ -105,6 +107,9 @@
 	checkAddress(c, "listen.callers", s.Listen.Callers)
 	checkAddress(c, "listen.readiness", s.Listen.Readiness)
 	checkAddress(c, "listen.control", s.Listen.Control)
+	if s.Listen.Metrics != "" {
+		checkAddress(c, "listen.metrics", s.Listen.Metrics)
+	}
 	checkAddress(c, "platform.address", s.Platform.Address)
 	if len(s.Listen.Ports) != 2 || s.Listen.Ports[0] <= 0 || s.Listen.Ports[1] < s.Listen.Ports[0] {
 		c.Add("listen.ports", "must be the first and the last port, in this order")
