--- a/internal/proxy/assembler/fault_test.go
+++ b/internal/proxy/assembler/fault_test.go
@@ -277,3 +277,47 @@
 		So(len(m.Store.Keys("tamarackscale/nodes/")), ShouldEqual, len(m.Nodes))
 	})
 }
+
+func TestCallsDoNotFollowOneAnotherToASilentNode(t *testing.T) {
+	inMesh(t, []string{"x", "y"}, func(m *mesh.Mesh) {
+		near, far := of(m, "a")[0], of(m, "b")[0]
+		warm(near, http.MethodPost, order)
+		So(far.Upstream.Total(), ShouldEqual, 10)
+		m.Network.Cut(func(from, to string) bool {
+			return (from == near.Name && to == far.Name) || (from == far.Name && to == near.Name)
+		})
+		go near.Call(http.MethodPost, host, order, "stuck", 3*time.Second)
+		time.Sleep(800 * time.Millisecond)
+		slow := 0
+		for i := range 6 {
+			began := time.Now()
+			a := near.Call(http.MethodPost, host, order, fmt.Sprintf("after-%d", i), 3*time.Second)
+			So(a.Status, ShouldEqual, http.StatusOK)
+			if time.Since(began) > 100*time.Millisecond {
+				slow++
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		So(slow, ShouldBeLessThanOrEqualTo, 1)
+		time.Sleep(4 * time.Second)
+		m.Network.Cut(nil)
+		So(runs(m, "stuck"), ShouldBeLessThanOrEqualTo, 1)
+	})
+}
+
+func TestStoppingNodeIsOfUseUntilOthersKnow(t *testing.T) {
+	inMesh(t, []string{"x"}, func(m *mesh.Mesh) {
+		near, far := of(m, "a")[0], of(m, "b")[0]
+		go far.Proxy.Stop("test")
+		for i := range 10 {
+			time.Sleep(150 * time.Millisecond)
+			a := near.Call(http.MethodPost, host, order, fmt.Sprintf("use-%d", i), time.Second)
+			So(a.Status, ShouldEqual, http.StatusOK)
+		}
+		time.Sleep(time.Second)
+		late := near.Call(http.MethodPost, host, order, "late", time.Second)
+		So(late.Status, ShouldEqual, http.StatusServiceUnavailable)
+		So(runs(m, "late"), ShouldEqual, 0)
+		time.Sleep(5 * time.Second)
+	})
+}
--- a/internal/proxy/forwarder/forwarder.go
+++ b/internal/proxy/forwarder/forwarder.go
@@ -113,13 +113,14 @@
 	for rejoins := 0; ; rejoins++ {
 		l, err := p.connect(ctx)
 		if err == nil {
-			sent = true
 			args.Job.Remaining = job.Remaining - time.Since(began)
 			args.Job.Objective = job.Objective - time.Since(began)
 			var reply RunReply
 			err = p.call(ctx, l, "Run", args, &reply)
+			wasSent := sent
+			sent = sent || !errors.Is(err, errNotSent)
 			if err == nil && reply.OtherStart {
-				return lost(rejoins > 0)
+				return lost(wasSent)
 			}
 			if err == nil {
 				return reply
@@ -129,13 +130,17 @@
 			go f.cancel(m.Address, args.HandOver)
 			return RunReply{Result: ended(ctx, sent)}
 		}
-		if !sent {
+		if !sent && (rejoins > 0 || !errors.Is(err, errNotSent)) {
 			return RunReply{Result: carrier.Refuse(carrier.PeerUnreachable)}
 		}
+		if !sent {
+			continue
+		}
 		if errors.Is(err, syscall.ECONNREFUSED) || (job.Idempotent && rejoins >= maxRejoinsIdempotent) {
 			go f.cancel(m.Address, args.HandOver)
 			return lost(true)
 		}
+		f.tellSilent(m.Address)
 		if rejoins > 0 && !pauser.Pause(ctx, rejoinPause) {
 			return RunReply{Result: ended(ctx, sent)}
 		}
--- a/internal/proxy/forwarder/peer.go
+++ b/internal/proxy/forwarder/peer.go
@@ -25,6 +25,8 @@
 var (
 	// errSilent says that a connection carries nothing any more.
 	errSilent = errors.New("the connection has gone silent")
+	// errNotSent says that nothing of a call was written.
+	errNotSent = errors.New("the connection had ended before the call was sent")
 	// errNoConnection says that a connection was not opened in time.
 	errNoConnection = errors.New("no connection was opened in time")
 )
@@ -33,6 +35,14 @@
 type monitored struct {
 	net.Conn
 	heard atomic.Int64
+	// writes counts the attempts to write.
+	writes atomic.Int64
+}
+
+// Write implements net.Conn.
+func (m *monitored) Write(b []byte) (int, error) {
+	m.writes.Add(1)
+	return m.Conn.Write(b)
 }
 
 // Read implements net.Conn.
@@ -145,7 +155,13 @@
 // than that of the context means that the link is of no use any more.
 func (p *peer) call(ctx context.Context, l *link, method string, args, reply any) error {
 	began := time.Now()
+	written := l.conn.writes.Load()
 	pending := l.Go(serviceName+"."+method, args, reply, make(chan *rpc.Call, 1))
+	if l.conn.writes.Load() == written {
+		// Go writes before it returns, so a link without a write since has ended.
+		p.drop(l)
+		return errNotSent
+	}
 	timer := time.NewTimer(probeAfter)
 	defer timer.Stop()
 	for {
--- a/standin/network/network.go
+++ b/standin/network/network.go
@@ -8,6 +8,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -105,7 +106,7 @@
 	l := h.network.listeners[address]
 	h.network.mu.Unlock()
 	if l == nil {
-		return nil, errors.Newf("connection to %s refused", address)
+		return nil, errors.Wrapf(syscall.ECONNREFUSED, "connect to %s", address)
 	}
 	cut, delay := h.network.rules(h.name, l.host.name)
 	if cut {
@@ -124,7 +125,7 @@
 	select {
 	case l.queue <- server:
 	case <-l.done:
-		return nil, errors.Newf("connection to %s refused", address)
+		return nil, errors.Wrapf(syscall.ECONNREFUSED, "connect to %s", address)
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
