balancer, queuer: slow upstreams show by silence, failures fade

A free slot was refused to calls whose kind takes longer than they have. Change: a call that was not answered teaches that it would have taken longer, at the queue and at the balancer; failures fade with 3 s; a bad time older than 4 s is tried again; a slot that nobody waits for is always given.

--- a/internal/proxy/balancer/balancer.go
+++ b/internal/proxy/balancer/balancer.go
@@ -41,6 +41,11 @@
 	// is avoided; the time doubles with each failure in a row.
 	firstEjection   = 300 * time.Millisecond
 	longestEjection = 2 * time.Second
+	// failureMemory is the time constant in which failures are forgotten, and
+	// sampleMemory how long a service time above the others' is believed: after
+	// that a call tries the upstream again.
+	failureMemory = 3 * time.Second
+	sampleMemory  = 4 * time.Second
 	// fullMemory is how long a refusal for want of room is believed.
 	fullMemory = 60 * time.Millisecond
 )
@@ -95,13 +100,21 @@
 	sinceLoad    int
 	load         Load
 	loadAt       time.Time
-	service      map[string]time.Duration
+	service      map[string]serviceTime
 	failures     int
 	failureRate  float64
+	failedAt     time.Time
 	ejectedUntil time.Time
 	fullUntil    time.Time
 }
 
+// serviceTime is the mean time of a kind of call at one upstream.
+type serviceTime struct {
+	mean time.Duration
+	// at is when the newest sample came.
+	at time.Time
+}
+
 // Need describes a call to be placed.
 type Need struct {
 	Service string
@@ -143,7 +156,7 @@
 		return false
 	}
 	if !known || c.Instance != m.Instance || c.Start != m.Start {
-		c = &Candidate{service: map[string]time.Duration{}}
+		c = &Candidate{service: map[string]serviceTime{}}
 		b.members[m.Node] = c
 	}
 	c.Member = m
@@ -241,7 +254,7 @@
 	}
 	inTime := chance(expected, n.Objective, deviation)
 	served := chance(expected, n.Remaining, deviation)
-	worth := (1 - c.failureRate) * (lateShare*served + (1-lateShare)*inTime)
+	worth := (1 - c.failing(now)) * (lateShare*served + (1-lateShare)*inTime)
 	if c.Zone != b.zone {
 		worth -= b.price(n)
 	}
@@ -275,7 +288,7 @@
 
 // expectedTime is how long a call would take at a candidate.
 func (b *Balancer) expectedTime(c *Candidate, n Need, now time.Time) time.Duration {
-	service := c.serviceTime(n.Kind)
+	service := b.serviceTime(c, n.Kind, now)
 	if now.UnixMilli() < c.ColdUntil {
 		service *= coldFactor
 	}
@@ -286,11 +299,43 @@
 	return expected
 }
 
-func (c *Candidate) serviceTime(kind string) time.Duration {
-	if mean, known := c.service[kind]; known {
-		return mean
+// serviceTime is the mean of an upstream, or that of the others of its service if
+// nothing is known of it, or only something bad and old.
+func (b *Balancer) serviceTime(c *Candidate, kind string, now time.Time) time.Duration {
+	own, known := c.service[kind]
+	if known && now.Sub(own.at) < sampleMemory {
+		return own.mean
+	}
+	others := mean(b.services[c.Service], kind, c)
+	switch {
+	case known && others > 0:
+		return min(own.mean, others)
+	case known:
+		return own.mean
+	case others > 0:
+		return others
+	default:
+		return unknownService
 	}
-	return unknownService
+}
+
+// mean is the mean time of a kind of call over all candidates but one; zero if
+// nothing is known.
+func mean(candidates []*Candidate, kind string, without *Candidate) time.Duration {
+	var sum time.Duration
+	known := 0
+	for _, c := range candidates {
+		if own, learned := c.service[kind]; learned && c != without {
+			sum += own.mean
+			known++
+		}
+	}
+	return sum / time.Duration(max(1, known))
+}
+
+// failing is the part of recent calls that failed.
+func (c *Candidate) failing(now time.Time) float64 {
+	return c.failureRate * math.Exp(-now.Sub(c.failedAt).Seconds()/failureMemory.Seconds())
 }
 
 // wait estimates the time in the queue: what the node told with its last result,
@@ -321,6 +366,8 @@
 	Bytes int
 	// Failed says that the upstream or its node misbehaved.
 	Failed bool
+	// Waited is how long an upstream was silent that has not answered.
+	Waited time.Duration
 	// Unreachable says that nothing can be sent there now.
 	Unreachable bool
 	// Full says that the upstream has no room.
@@ -340,14 +387,19 @@
 	switch {
 	case o.Answered:
 		c.failures = 0
-		c.failureRate -= smoothing * c.failureRate
-		b.learnDeviation(o.Kind, c.serviceTime(o.Kind), o.Service)
-		c.learn(o.Kind, o.Service)
+		c.failureRate = (1 - smoothing) * c.failing(now)
+		c.failedAt = now
+		b.learnDeviation(o.Kind, c.service[o.Kind].mean, o.Service)
+		c.learn(o.Kind, o.Service, now)
 		b.bytes[o.Kind] += smoothing * (float64(o.Bytes) - b.bytes[o.Kind])
 	case o.Unreachable:
 		c.eject(now)
 	case o.Failed:
-		c.failureRate += smoothing * (1 - c.failureRate)
+		rate := c.failing(now)
+		c.failureRate, c.failedAt = rate+smoothing*(1-rate), now
+	}
+	if !o.Answered && o.Waited > c.service[o.Kind].mean {
+		c.learn(o.Kind, o.Waited, now)
 	}
 }
 
@@ -383,13 +435,14 @@
 // leastDeviation keeps a run of like samples from making estimates certain.
 const leastDeviation = 0.1
 
-func (c *Candidate) learn(kind string, sample time.Duration) {
-	mean, known := c.service[kind]
+func (c *Candidate) learn(kind string, sample time.Duration, now time.Time) {
+	before, known := c.service[kind]
 	if !known {
-		c.service[kind] = sample
+		c.service[kind] = serviceTime{mean: sample, at: now}
 		return
 	}
-	c.service[kind] = mean + time.Duration(smoothing*float64(sample-mean))
+	mean := before.mean + time.Duration(smoothing*float64(sample-before.mean))
+	c.service[kind] = serviceTime{mean: mean, at: now}
 }
 
 // Size returns the number of members.
@@ -398,22 +451,15 @@
 // Expected returns the mean time of a kind of call over the upstreams of its
 // service, and its mean deviation as a part of that; zero if nothing is known.
 func (b *Balancer) Expected(service, kind string) (time.Duration, float64) {
-	var sum time.Duration
-	known := 0
-	for _, c := range b.services[service] {
-		if mean, learned := c.service[kind]; learned {
-			sum += mean
-			known++
-		}
-	}
-	if known == 0 {
+	all := mean(b.services[service], kind, nil)
+	if all == 0 {
 		return 0, 0
 	}
 	deviation, measured := b.deviation[kind]
 	if !measured {
 		deviation = unknownDeviation
 	}
-	return sum / time.Duration(known), deviation
+	return all, deviation
 }
 
 // roomShare is the part of its slots that an upstream may use and still have
--- a/internal/proxy/balancer/balancer_test.go
+++ b/internal/proxy/balancer/balancer_test.go
@@ -130,3 +130,27 @@
 		}
 	})
 }
+
+func TestUpstreamThatTurnsSlowIsLeftAndTriedAgain(t *testing.T) {
+	Convey("Calls that never come back teach that an upstream is slow", t, func() {
+		b := two(50*ms, 60*ms)
+		clock := now
+		for range 12 {
+			c := b.members["x"]
+			c.outstanding++
+			b.Done(c, Outcome{Kind: "k", Failed: true, Waited: 1500 * ms}, clock)
+		}
+		So(pick(b, need(1, 600*ms)), ShouldEqual, "y")
+		So(b.members["x"].service["k"].mean, ShouldBeGreaterThan, 600*ms)
+	})
+	Convey("It is tried again after a while, and used again once it answers", t, func() {
+		b := two(50*ms, 60*ms)
+		for range 12 {
+			c := b.members["x"]
+			c.outstanding++
+			b.Done(c, Outcome{Kind: "k", Failed: true, Waited: 1500 * ms}, now)
+		}
+		later := now.Add(10 * time.Second)
+		So(b.Pick(need(1, 600*ms), later).Zone, ShouldEqual, "x")
+	})
+}
--- a/internal/proxy/dispatcher/placement.go
+++ b/internal/proxy/dispatcher/placement.go
@@ -173,6 +173,10 @@
 func (p *placement) learn(h handOver, reply forwarder.RunReply) carrier.Result {
 	r := reply.Result
 	outcome := outcomeOf(reply, p.match.Name)
+	outcome.Waited = reply.Service
+	if r.Outcome == carrier.Unknown {
+		outcome.Waited = time.Since(h.began)
+	}
 	outcome.Bytes = len(p.call.Body) + len(r.Answer.Body)
 	p.d.learn(h.candidate, outcome)
 	p.d.Observe.HeardVersion(reply.Version)
--- a/internal/proxy/executor/executor.go
+++ b/internal/proxy/executor/executor.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 
@@ -168,11 +169,17 @@
 	now = time.Now()
 	e.mu.Lock()
 	e.finished(job.Call.ID)
-	e.queue.Release(ticket, result.Outcome == carrier.Run, now)
+	e.queue.Release(ticket, isTypical(result), now)
 	e.mu.Unlock()
 	return result, now.Sub(started)
 }
 
+// isTypical says whether a result tells how long its kind of call takes: one that
+// failed ended early or at its deadline.
+func isTypical(r carrier.Result) bool {
+	return r.Outcome == carrier.Run && r.Answer.Status < http.StatusInternalServerError
+}
+
 func (e *Executor) finished(id string) {
 	e.running[id]--
 	if e.running[id] == 0 {
--- a/internal/proxy/queuer/queuer.go
+++ b/internal/proxy/queuer/queuer.go
@@ -188,7 +188,8 @@
 }
 
 // Advance gives free slots to waiting tickets and refuses those whose turn
-// would come too late.
+// would come too late. A slot that nobody else waits for goes to a call even if
+// it is unlikely to end in time.
 func (q *Queue) Advance(now time.Time) {
 	if len(q.waiting) == 0 {
 		return
@@ -196,7 +197,7 @@
 	q.order(now)
 	for len(q.running) < q.Slots && len(q.waiting) > 0 {
 		position := q.pick()
-		if t := q.waiting[position]; now.Add(q.least(t)).After(t.Deadline) {
+		if t := q.waiting[position]; len(q.waiting) > 1 && now.Add(q.least(t)).After(t.Deadline) {
 			q.waiting = append(q.waiting[:position], q.waiting[position+1:]...)
 			t.Settled <- &Refusal{}
 			continue
@@ -318,14 +319,15 @@
 	return false
 }
 
-// Release gives a slot back. Only a call that was answered teaches the mean.
+// Release gives a slot back. A call that was answered teaches the mean; one that
+// was not shows only that it would have taken longer.
 func (q *Queue) Release(t *Ticket, answered bool, now time.Time) {
 	if _, runs := q.running[t]; !runs {
 		return
 	}
 	delete(q.running, t)
-	if answered {
-		q.learn(t.Kind, now.Sub(t.granted))
+	if held := now.Sub(t.granted); answered || held > q.ServiceTime(t.Kind) {
+		q.learn(t.Kind, held)
 	}
 	q.Advance(now)
 }
