recognizer: the time of a refused caller runs from its first attempt

Cause: callers that come back after a refusal counted as new ones, with a whole objective before them, and took slots from calls that could still be in time.

--- a/internal/observe/reporter/reporter.go
+++ b/internal/observe/reporter/reporter.go
@@ -113,7 +113,8 @@
 		"event": "callEnded", "request": e.Call.ID, "route": e.Route, "service": e.Service, "rank": e.Rank,
 		"nested": e.Nested, "version": e.Version, "outcome": e.Result.Outcome.String(),
 		"reason": string(e.Result.Reason), "status": e.Status, "pauseMs": e.Pause.Milliseconds(),
-		"callerTimeoutMs": e.Call.Timeout.Milliseconds(), "tookMs": e.Took.Milliseconds(), "handOvers": describe(e.Attempts),
+		"callerTimeoutMs": e.Call.Timeout.Milliseconds(), "tookMs": e.Took.Milliseconds(),
+		"waitedMs": e.Waited.Milliseconds(), "handOvers": describe(e.Attempts),
 	}).Info("call ended")
 }
 
--- a/internal/proxy/assembler/path_test.go
+++ b/internal/proxy/assembler/path_test.go
@@ -147,3 +147,25 @@
 		So(far.Upstream.Most(), ShouldEqual, 2)
 	})
 }
+
+func TestReturningCallerIsKnownAgain(t *testing.T) {
+	inMesh(t, []string{"x"}, func(m *mesh.Mesh) {
+		near, far := of(m, "a")[0], of(m, "b")[0]
+		far.Upstream.Set(time.Second, nil)
+		warm(near, http.MethodPost, order)
+		for i := range 2 {
+			go near.Call(http.MethodPost, host, order, fmt.Sprintf("busy-%d", i), 4*time.Second)
+		}
+		time.Sleep(100 * time.Millisecond)
+		target := order + "mine"
+		refused := near.Call(http.MethodPost, host, target, "first", 1200*time.Millisecond)
+		So(refused.Status, ShouldEqual, http.StatusServiceUnavailable)
+		time.Sleep(950 * time.Millisecond)
+		back := near.Call(http.MethodPost, host, target, "second", 1500*time.Millisecond)
+		So(back.Status, ShouldEqual, http.StatusOK)
+		So(runs(m, "first"), ShouldEqual, 0)
+		again := near.Call(http.MethodPost, host, "/nowhere/", "third", time.Second)
+		So(again.Status, ShouldEqual, http.StatusNotFound)
+		time.Sleep(100 * time.Millisecond)
+	})
+}
--- a/internal/proxy/dispatcher/dispatcher.go
+++ b/internal/proxy/dispatcher/dispatcher.go
@@ -14,6 +14,7 @@
 	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/executor"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/forwarder"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/recognizer"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/retrier"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/router"
 )
@@ -58,6 +59,8 @@
 	// Status is what the caller was told, Pause when it may come back.
 	Status int
 	Pause  time.Duration
+	// Waited is how long ago the call was refused for the first time.
+	Waited time.Duration
 	// Took is the time from the request's last byte to the answer.
 	Took time.Duration
 }
@@ -93,13 +96,14 @@
 type Dispatcher struct {
 	Config
 
-	mu      sync.Mutex
-	retrier *retrier.Retrier
+	mu         sync.Mutex
+	retrier    *retrier.Retrier
+	recognizer *recognizer.Recognizer
 }
 
 // New returns a dispatcher.
 func New(config Config) *Dispatcher {
-	return &Dispatcher{Config: config, retrier: retrier.New(config.Budget)}
+	return &Dispatcher{Config: config, retrier: retrier.New(config.Budget), recognizer: recognizer.New()}
 }
 
 // defaultLimits hold until a configuration is in force.
@@ -142,11 +146,40 @@
 	patience := patienceOf(call, match)
 	ctx, cancel := context.WithDeadline(ctx, received.Add(patience+answerMargin))
 	defer cancel()
-	p := &placement{d: d, match: match, call: call, received: received, patience: patience, event: &event}
+	event.Waited = d.waited(call, received)
+	p := &placement{
+		d: d, match: match, call: call, received: received, patience: patience,
+		objective: match.Objective - event.Waited, event: &event,
+	}
 	result := p.place(ctx)
+	if result.Outcome == carrier.NotRun {
+		d.remember(call, received.Add(-event.Waited))
+	}
 	return d.end(event, result, received, patience-time.Since(received))
 }
 
+func keyOf(call carrier.Call) recognizer.Key {
+	return recognizer.Key{Method: call.Method, Host: call.Host, Target: call.Target}
+}
+
+// waited is how long ago the call was refused for the first time; zero if it is new.
+func (d *Dispatcher) waited(call carrier.Call, received time.Time) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	first, returned := d.recognizer.Returned(keyOf(call), received)
+	if !returned {
+		return 0
+	}
+	return received.Sub(first)
+}
+
+// remember keeps in mind that a call was refused.
+func (d *Dispatcher) remember(call carrier.Call, first time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.recognizer.Refused(keyOf(call), first, time.Now())
+}
+
 // patienceOf is how long the call may take: the caller's wait, capped by the route.
 func patienceOf(call carrier.Call, match router.Match) time.Duration {
 	patience := longestWait
--- a/internal/proxy/dispatcher/placement.go
+++ b/internal/proxy/dispatcher/placement.go
@@ -28,7 +28,9 @@
 	call     carrier.Call
 	received time.Time
 	patience time.Duration
-	event    *Event
+	// objective is the time from received until the answer loses part of its use.
+	objective time.Duration
+	event     *Event
 
 	mu    sync.Mutex
 	tried []string
@@ -124,7 +126,7 @@
 	return balancer.Need{
 		Service: p.match.Service, Kind: p.match.Name, Rank: p.match.Rank,
 		Class:     queuer.ClassOf(p.match.Rank, p.event.Nested),
-		Objective: p.match.Objective - time.Since(p.received), Remaining: p.left(), Tried: p.tried,
+		Objective: p.objective - time.Since(p.received), Remaining: p.left(), Tried: p.tried,
 	}
 }
 
@@ -157,7 +159,7 @@
 	return executor.Job{
 		Call: p.call, CallerService: p.d.Service(), Service: p.match.Service, Kind: p.match.Name,
 		Rank: p.match.Rank, Nested: p.event.Nested, Idempotent: p.match.Idempotent,
-		Objective: p.match.Objective - spent, Remaining: p.patience - spent,
+		Objective: p.objective - spent, Remaining: p.patience - spent, Waited: p.event.Waited + spent,
 	}
 }
 
--- a/internal/proxy/executor/executor.go
+++ b/internal/proxy/executor/executor.go
@@ -43,6 +43,8 @@
 	// all of its use.
 	Objective time.Duration
 	Remaining time.Duration
+	// Waited is how long the caller has waited since its first attempt.
+	Waited time.Duration
 }
 
 // Config is what an executor needs.
@@ -155,6 +157,7 @@
 	ctx, cancel := context.WithDeadline(ctx, deadline.Add(deadlineMargin))
 	defer cancel()
 	ticket := queuer.NewTicket(job.Kind, job.Rank, job.Nested, now.Add(job.Objective), deadline)
+	ticket.Arrived = now.Add(-job.Waited)
 	if refusal, refused := e.enter(ticket, job, now); refused {
 		return refusal, 0
 	}
--- a/internal/proxy/finder/finder.go
+++ b/internal/proxy/finder/finder.go
@@ -23,7 +23,7 @@
 	// roundTime is the pause between rounds: renewal, and what was not told yet.
 	roundTime = time.Second
 	// retryTime is the pause between rounds while the store does not answer.
-	retryTime = 400 * time.Millisecond
+	retryTime = 700 * time.Millisecond
 	// renewRounds and readRounds are how many rounds there are for one renewal
 	// and for one reading of all entries.
 	renewRounds = 3
--- a/internal/proxy/queuer/queuer.go
+++ b/internal/proxy/queuer/queuer.go
@@ -71,6 +71,8 @@
 	// Objective is when the answer loses part of its use, Deadline when all.
 	Objective time.Time
 	Deadline  time.Time
+	// Arrived is when the caller first asked; it orders the tickets of a class.
+	Arrived time.Time
 	// Settled receives nil when the ticket gets a slot, or a refusal.
 	Settled chan *Refusal
 
@@ -182,6 +184,9 @@
 func (q *Queue) Offer(t *Ticket, now time.Time) {
 	q.sequence++
 	t.sequence = q.sequence
+	if t.Arrived.IsZero() {
+		t.Arrived = now
+	}
 	q.measure(t, now)
 	q.waiting = append(q.waiting, t)
 	q.Advance(now)
@@ -215,6 +220,9 @@
 		if ca, cb := q.class(a, now), q.class(b, now); ca != cb {
 			return ca < cb
 		}
+		if !a.Arrived.Equal(b.Arrived) {
+			return a.Arrived.Before(b.Arrived)
+		}
 		return a.sequence < b.sequence
 	})
 }
@@ -241,7 +249,7 @@
 	}
 	oldest := 0
 	for i, t := range q.waiting {
-		if t.sequence < q.waiting[oldest].sequence {
+		if t.Arrived.Before(q.waiting[oldest].Arrived) {
 			oldest = i
 		}
 	}
--- a/internal/proxy/subscriber/subscriber.go
+++ b/internal/proxy/subscriber/subscriber.go
@@ -28,7 +28,7 @@
 	// a stream of versions costs one call a pause.
 	gatherTime = 600 * time.Millisecond
 	// retryPause is the pause after a failed call to the store.
-	retryPause = 400 * time.Millisecond
+	retryPause = 700 * time.Millisecond
 	// peerWait is how long another node may take to tell of a newer version.
 	peerWait = time.Second
 	// peerPause is the pause between questions to other nodes.
