assembler: attempts to connect to a cut store end; settings' findings tested

Cause: found by a test that once ended with attempts to connect still open: the transport goes on dialling for calls that were given up, two a second, 34 after 30 s behind a cut. Change: each attempt is bounded like the call. Forward is split into try and the decision after it. Proof: TestAttemptsToConnectToACutStoreEnd fails without the bound (34 of at most 2).

--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -111,6 +111,9 @@
 func (p *Proxy) buildControl(s *reader.Settings) {
 	p.transport = &http.Transport{
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			// The transport goes on dialling for a call that was given up.
+			ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+			defer cancel()
 			return p.network.Dial(ctx, address)
 		},
 		DisableCompression: true, MaxIdleConnsPerHost: 2,
--- a/internal/proxy/assembler/fault_test.go
+++ b/internal/proxy/assembler/fault_test.go
@@ -321,3 +321,15 @@
 		time.Sleep(5 * time.Second)
 	})
 }
+
+func TestAttemptsToConnectToACutStoreEnd(t *testing.T) {
+	inMesh(t, []string{"x"}, func(m *mesh.Mesh) {
+		m.Network.Cut(func(from, to string) bool { return from == "store" || to == "store" })
+		time.Sleep(30 * time.Second)
+		for _, n := range m.Nodes {
+			// One of the members' part and one of the configuration's.
+			So(n.Dialing(), ShouldBeLessThanOrEqualTo, 2)
+		}
+		m.Network.Cut(nil)
+	})
+}
--- a/internal/proxy/forwarder/forwarder.go
+++ b/internal/proxy/forwarder/forwarder.go
@@ -103,50 +103,65 @@
 	}
 }
 
+// attempt is one hand-over while its result is awaited.
+type attempt struct {
+	args  RunArgs
+	job   executor.Job
+	began time.Time
+	// sent says that the receiver may have got the hand-over.
+	sent bool
+}
+
 // Forward hands a call over and waits for its result. The context ends when the
 // caller is gone or its deadline has passed.
 func (f *Forwarder) Forward(ctx context.Context, m balancer.Member, job executor.Job) RunReply {
-	began := time.Now()
-	p := f.peer(m.Address)
-	args := RunArgs{HandOver: fencer.HandOver{Sender: f.sender, Number: f.number.Add(1)}, Start: m.Start, Job: job}
-	sent := false
-	for rejoins := 0; ; rejoins++ {
-		l, err := p.connect(ctx)
-		if err == nil {
-			args.Job.Remaining = job.Remaining - time.Since(began)
-			args.Job.Objective = job.Objective - time.Since(began)
-			var reply RunReply
-			err = p.call(ctx, l, "Run", args, &reply)
-			wasSent := sent
-			sent = sent || !errors.Is(err, errNotSent)
-			if err == nil && reply.OtherStart {
-				return lost(wasSent)
-			}
-			if err == nil {
-				return reply
-			}
-		}
-		if ctx.Err() != nil {
-			go f.cancel(m.Address, args.HandOver)
-			return RunReply{Result: ended(ctx, sent)}
-		}
-		if !sent && (rejoins > 0 || !errors.Is(err, errNotSent)) {
-			return RunReply{Result: carrier.Refuse(carrier.PeerUnreachable)}
-		}
-		if !sent {
+	name := fencer.HandOver{Sender: f.sender, Number: f.number.Add(1)}
+	a := &attempt{args: RunArgs{HandOver: name, Start: m.Start}, job: job, began: time.Now()}
+	for tries := 1; ; tries++ {
+		wasSent := a.sent
+		reply, err := f.try(ctx, m.Address, a)
+		switch {
+		case err == nil && reply.OtherStart:
+			return lost(wasSent)
+		case err == nil:
+			return reply
+		case ctx.Err() != nil:
+			go f.cancel(m.Address, name)
+			return RunReply{Result: ended(ctx, a.sent)}
+		case !a.sent && errors.Is(err, errNotSent) && tries == 1:
+			// The connection had ended before; a new one is tried at once.
 			continue
-		}
-		if errors.Is(err, syscall.ECONNREFUSED) || (job.Idempotent && rejoins >= maxRejoinsIdempotent) {
-			go f.cancel(m.Address, args.HandOver)
+		case !a.sent:
+			return lost(false)
+		case errors.Is(err, syscall.ECONNREFUSED), job.Idempotent && tries > maxRejoinsIdempotent:
+			go f.cancel(m.Address, name)
 			return lost(true)
 		}
 		f.tellSilent(m.Address)
-		if rejoins > 0 && !pauser.Pause(ctx, rejoinPause) {
-			return RunReply{Result: ended(ctx, sent)}
+		if tries > 1 && !pauser.Pause(ctx, rejoinPause) {
+			return RunReply{Result: ended(ctx, a.sent)}
 		}
 	}
 }
 
+// try sends the hand-over on the open connection, or on a new one, and waits for
+// its result.
+func (f *Forwarder) try(ctx context.Context, address string, a *attempt) (RunReply, error) {
+	var reply RunReply
+	p := f.peer(address)
+	l, err := p.connect(ctx)
+	if err != nil {
+		return reply, err
+	}
+	spent := time.Since(a.began)
+	a.args.Job = a.job
+	a.args.Job.Remaining -= spent
+	a.args.Job.Objective -= spent
+	err = p.call(ctx, l, "Run", a.args, &reply)
+	a.sent = a.sent || !errors.Is(err, errNotSent)
+	return reply, err
+}
+
 // lost is the result when the process that was meant is gone. It never saw the
 // call if the first message already met its successor.
 func lost(mayHaveRun bool) RunReply {
--- /dev/null
+++ b/internal/settings/reader/reader_test.go
@@ -0,0 +1,52 @@
+package reader
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+const good = `node: {id: "n-1", ip: "10.0.0.1", availabilityZone: "z"}
+listen:
+  callers: "10.0.0.1:1"
+  readiness: "10.0.0.1:2"
+  control: "10.0.0.1:3"
+  metrics: "10.0.0.1:4"
+  ports: [7000,7015]
+platform: {address: "10.9.0.1:80"}
+upstream: {service: "s", address: "10.0.0.1:5"}
+seeds: ["10.0.0.1:3","10.0.0.2:3","nonsense"]
+bounds: {drainTime: 2s, grace: 6s, repeatRatio: 0.2, repeatSlack: 56, repeatWindow: 10s}
+`
+
+func TestSettingsAreRead(t *testing.T) {
+	Convey("Good settings, and the addresses that follow from them", t, func() {
+		s, err := Parse("f", []byte(good))
+		So(err, ShouldBeNil)
+		So(s.Bounds.DrainTime.Std(), ShouldEqual, 2*time.Second)
+		So(s.PeerAddress(), ShouldEqual, "10.0.0.1:7000")
+		So(s.SeedAddresses(), ShouldResemble, []string{"10.0.0.2:7000"})
+	})
+}
+
+func TestBadSettingsAreReportedWhole(t *testing.T) {
+	Convey("All findings come together, with their lines", t, func() {
+		bad := strings.NewReplacer(
+			`id: "n-1"`, `id: ""`, `ip: "10.0.0.1"`, `ip: "here"`, "[7000,7015]", "[7015,7000]",
+			"drainTime: 2s", "drainTime: 0s", `address: "10.9.0.1:80"`, `address: "store"`,
+		).Replace(good)
+		_, err := Parse("settings.yaml", []byte(bad))
+		So(err, ShouldNotBeNil)
+		want, readErr := os.ReadFile(filepath.Join("testdata", "findings.golden"))
+		So(readErr, ShouldBeNil)
+		So(err.Error()+"\n", ShouldEqual, string(want))
+	})
+	Convey("An unknown key is a finding", t, func() {
+		_, err := Parse("f", []byte(good+"odd: 1\n"))
+		So(err, ShouldNotBeNil)
+	})
+}
--- a/standin/mesh/mesh.go
+++ b/standin/mesh/mesh.go
@@ -154,6 +154,10 @@
 	n.proxy = n.mesh.Network.Host(n.Name)
 }
 
+// Dialing returns how many attempts of the proxy to connect wait at hosts that
+// are cut off.
+func (n *Node) Dialing() int64 { return n.proxy.Dialing() }
+
 // StartUpstream starts an upstream in the place of the former one.
 func (n *Node) StartUpstream(instance, service string, slots int) error {
 	u := &Upstream{
