subscriber: a relay is a process, not an address

Ruled out: a deaf watch (none was open). Change: the question names the process that is meant, and another one answers nothing; a later process at an address takes the former member's place. Checks of addresses and ranges stand once, in input/collector.

--- a/internal/proxy/assembler/directory.go
+++ b/internal/proxy/assembler/directory.go
@@ -9,6 +9,7 @@
 
 	"github.com/tamarackscale/tamarackscale/internal/proxy/balancer"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/forwarder"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/subscriber"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/tracker"
 )
 
@@ -108,9 +109,9 @@
 	return addresses
 }
 
-// relays returns the addresses of the nodes of the own zone that do not stop, in
-// the order of their names.
-func (p *Proxy) relays() []string {
+// relays returns the nodes of the own zone that do not stop, in the order of their
+// names.
+func (p *Proxy) relays() []subscriber.Relay {
 	zone := p.settings.Load().Node.AvailabilityZone
 	var near []balancer.Member
 	for _, m := range p.Members() {
@@ -119,11 +120,11 @@
 		}
 	}
 	sort.Slice(near, func(i, j int) bool { return near[i].Node < near[j].Node })
-	addresses := make([]string, 0, len(near))
+	relays := make([]subscriber.Relay, 0, len(near))
 	for _, m := range near {
-		addresses = append(addresses, m.Address)
+		relays = append(relays, subscriber.Relay{Address: m.Address, Start: m.Start})
 	}
-	return addresses
+	return relays
 }
 
 // Report implements platform.UpstreamListener.
--- a/internal/proxy/balancer/balancer.go
+++ b/internal/proxy/balancer/balancer.go
@@ -160,10 +160,21 @@
 		b.members[m.Node] = c
 	}
 	c.Member = m
+	b.removeFormer(m)
 	b.index()
 	return true
 }
 
+// removeFormer forgets the node that had a member's address before: one address
+// has one process.
+func (b *Balancer) removeFormer(m Member) {
+	for name, c := range b.members {
+		if c.Address == m.Address && name != m.Node && m.Address != "" && c.Start < m.Start {
+			delete(b.members, name)
+		}
+	}
+}
+
 // Remove forgets a member.
 func (b *Balancer) Remove(node string) {
 	delete(b.members, node)
--- a/internal/proxy/balancer/balancer_test.go
+++ b/internal/proxy/balancer/balancer_test.go
@@ -115,6 +115,17 @@
 	})
 }
 
+func TestAddressHasOneMember(t *testing.T) {
+	Convey("A later process at an address takes the place of the former node", t, func() {
+		b := New("x")
+		b.Update(Member{Node: "old", Start: 1, Address: "10.0.0.1:1", Service: "s"})
+		b.Update(Member{Node: "new", Start: 2, Address: "10.0.0.1:1", Service: "s"})
+		So(b.Size(), ShouldEqual, 1)
+		_, known := b.Member("new")
+		So(known, ShouldBeTrue)
+	})
+}
+
 func TestLoadSpreadsOverEqualUpstreams(t *testing.T) {
 	Convey("Calls in flight go to the least loaded upstream of the zone", t, func() {
 		b := New("x")
--- a/internal/proxy/forwarder/messages.go
+++ b/internal/proxy/forwarder/messages.go
@@ -40,7 +40,11 @@
 
 // ConfigurationArgs asks for a configuration newer than Have.
 type ConfigurationArgs struct {
-	Have int64
+	// Start is the process that is meant; zero is any. Another one at the address
+	// answers nothing: nodes that ask each other by mistake would both believe to
+	// hear of changes.
+	Start int64
+	Have  int64
 	// Wait is how long the answer may take if there is none yet.
 	Wait time.Duration
 }
--- a/internal/proxy/forwarder/receiver.go
+++ b/internal/proxy/forwarder/receiver.go
@@ -150,6 +150,9 @@
 
 // Configuration returns a configuration newer than the one that the asker has.
 func (m *methods) Configuration(args *ConfigurationArgs, reply *ConfigurationReply) error {
+	if args.Start != 0 && args.Start != m.r.start {
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), args.Wait)
 	defer cancel()
 	*reply = m.r.neighbour.NextConfiguration(ctx, args.Have)
--- a/internal/proxy/subscriber/subscriber.go
+++ b/internal/proxy/subscriber/subscriber.go
@@ -59,9 +59,9 @@
 	Decode func(data []byte) (router.Configuration, error)
 	// Peers returns the addresses of other nodes, the nearest first.
 	Peers func() []string
-	// Relays returns the addresses of the zone's nodes that may be relays, the
-	// own one included, in the same order at every node.
-	Relays func() []string
+	// Relays returns the zone's nodes that may be relays, the own one included, in
+	// the same order at every node.
+	Relays func() []Relay
 	// Own is the node's own address.
 	Own string
 	// Ask asks another node for a newer configuration.
@@ -69,6 +69,13 @@
 	Observe Observer
 }
 
+// Relay is a node that passes changes on.
+type Relay struct {
+	Address string
+	// Start is when its process started: another one may have its address by now.
+	Start int64
+}
+
 // Subscriber holds the configuration in force.
 type Subscriber struct {
 	config    Config
@@ -183,32 +190,32 @@
 	s.changed = make(chan struct{})
 }
 
-// relay returns the address of a relay that this node asks; empty if there is
-// none. A relay asks those before it.
-func (s *Subscriber) relay(index int) string {
-	for i, address := range s.config.Relays() {
-		if address == s.config.Own {
-			return ""
+// relay returns a relay that this node asks, and whether there is one. A relay asks
+// those before it.
+func (s *Subscriber) relay(index int) (Relay, bool) {
+	for i, r := range s.config.Relays() {
+		if r.Address == s.config.Own {
+			return Relay{}, false
 		}
 		if i == index {
-			return address
+			return r, true
 		}
 	}
-	return ""
+	return Relay{}, false
 }
 
 // followRelay keeps a question open at one relay.
 func (s *Subscriber) followRelay(ctx context.Context, index int) {
 	for ctx.Err() == nil {
-		address := s.relay(index)
-		if address == "" {
+		relay, found := s.relay(index)
+		if !found {
 			s.setRelayed(index, false)
 			if !pauser.Pause(ctx, rolePause) {
 				return
 			}
 			continue
 		}
-		reply, err := s.ask(ctx, address, relayWait)
+		reply, err := s.ask(ctx, relay, relayWait)
 		s.setRelayed(index, err == nil && reply.Following)
 		if err == nil && reply.Version > s.Version() {
 			s.apply(reply.Data, "relay")
@@ -293,7 +300,7 @@
 		if len(peers) == 0 {
 			continue
 		}
-		reply, err := s.ask(ctx, peers[turn%len(peers)], peerWait)
+		reply, err := s.ask(ctx, Relay{Address: peers[turn%len(peers)]}, peerWait)
 		if err != nil || (!reply.Following && reply.Version == 0) {
 			turn++
 		}
@@ -304,11 +311,11 @@
 }
 
 func (s *Subscriber) ask(
-	ctx context.Context, address string, wait time.Duration,
+	ctx context.Context, r Relay, wait time.Duration,
 ) (forwarder.ConfigurationReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+time.Second)
 	defer cancel()
-	return s.config.Ask(ctx, address, forwarder.ConfigurationArgs{Have: s.Version(), Wait: wait})
+	return s.config.Ask(ctx, r.Address, forwarder.ConfigurationArgs{Start: r.Start, Have: s.Version(), Wait: wait})
 }
 
 // apply brings a configuration into force if it is newer.
--- a/internal/settings/loader/loader.go
+++ b/internal/settings/loader/loader.go
@@ -3,7 +3,6 @@
 
 import (
 	"fmt"
-	"net/netip"
 	"os"
 	"regexp"
 	"slices"
@@ -126,10 +125,10 @@
 	checkID(c, "node.availabilityZone", s.Node.AvailabilityZone)
 	checkListen(c, s.Listen)
 	checkSeeds(c, s.Seeds)
-	checkAddress(c, "platform.address", s.Platform.Address)
-	checkRange(c, "platform.timeout", s.Platform.Timeout, 10*time.Millisecond, time.Minute)
-	checkRange(c, "idempotency.window", s.Idempotency.Window, 10*time.Second, time.Hour)
-	checkRange(c, "shutdown.grace", s.Shutdown.Grace, time.Second, 10*time.Minute)
+	c.Address("platform.address", s.Platform.Address)
+	c.Range("platform.timeout", s.Platform.Timeout.Std(), 10*time.Millisecond, time.Minute)
+	c.Range("idempotency.window", s.Idempotency.Window.Std(), 10*time.Second, time.Hour)
+	c.Range("shutdown.grace", s.Shutdown.Grace.Std(), time.Second, 10*time.Minute)
 	checkOperators(c, s.Operators)
 	checkLogs(c, s.Logs)
 }
@@ -148,7 +147,7 @@
 		{"listen.control", l.Control},
 		{"listen.admin", l.Admin},
 	} {
-		checkAddress(c, entry.key, entry.address)
+		c.Address(entry.key, entry.address)
 		if earlier, seen := taken[entry.address]; seen && entry.address != "" {
 			c.Add(entry.key, "%s is used by %s already", entry.address, earlier)
 		}
@@ -160,7 +159,7 @@
 	seen := map[string]bool{}
 	for i, seed := range seeds {
 		key := fmt.Sprintf("seeds[%d]", i)
-		checkAddress(c, key, seed)
+		c.Address(key, seed)
 		if seen[seed] {
 			c.Add(key, "%s is listed twice", seed)
 		}
@@ -168,19 +167,6 @@
 	}
 }
 
-func checkAddress(c *collector.Collector, key, address string) {
-	parsed, err := netip.ParseAddrPort(address)
-	if err != nil || parsed.Port() == 0 {
-		c.Add(key, "%q is not an address of the form IP:port", address)
-	}
-}
-
-func checkRange(c *collector.Collector, key string, d decoder.Duration, lowest, highest time.Duration) {
-	if d.Std() < lowest || d.Std() > highest {
-		c.Add(key, "is %s; expected %s to %s", d.Std(), lowest, highest)
-	}
-}
-
 func checkOperators(c *collector.Collector, operators []Operator) {
 	if len(operators) == 0 {
 		c.Add("operators", "at least one operator's public key is needed")
--- a/internal/settings/reader/reader.go
+++ b/internal/settings/reader/reader.go
@@ -104,25 +104,19 @@
 	if _, err := netip.ParseAddr(s.Node.IP); err != nil {
 		c.Add("node.ip", "%q is not an IP address", s.Node.IP)
 	}
-	checkAddress(c, "listen.callers", s.Listen.Callers)
-	checkAddress(c, "listen.readiness", s.Listen.Readiness)
-	checkAddress(c, "listen.control", s.Listen.Control)
+	c.Address("listen.callers", s.Listen.Callers)
+	c.Address("listen.readiness", s.Listen.Readiness)
+	c.Address("listen.control", s.Listen.Control)
 	if s.Listen.Metrics != "" {
-		checkAddress(c, "listen.metrics", s.Listen.Metrics)
+		c.Address("listen.metrics", s.Listen.Metrics)
 	}
-	checkAddress(c, "platform.address", s.Platform.Address)
+	c.Address("platform.address", s.Platform.Address)
 	if len(s.Listen.Ports) != 2 || s.Listen.Ports[0] <= 0 || s.Listen.Ports[1] < s.Listen.Ports[0] {
 		c.Add("listen.ports", "must be the first and the last port, in this order")
 	}
 	checkBounds(c, s.Bounds)
 }
 
-func checkAddress(c *collector.Collector, key, address string) {
-	if parsed, err := netip.ParseAddrPort(address); err != nil || parsed.Port() == 0 {
-		c.Add(key, "%q is not an address of the form IP:port", address)
-	}
-}
-
 // PeerAddress is where other nodes reach this one.
 func (s *Settings) PeerAddress() string { return peerAddress(s.Node.IP, s.Listen.Ports[0]) }
 
@@ -143,16 +137,10 @@
 }
 
 func checkBounds(c *collector.Collector, b Bounds) {
-	checkRange(c, "bounds.drainTime", b.DrainTime, 100*time.Millisecond, time.Hour)
-	checkRange(c, "bounds.grace", b.Grace, time.Second, time.Hour)
-	checkRange(c, "bounds.repeatWindow", b.RepeatWindow, time.Second, time.Hour)
+	c.Range("bounds.drainTime", b.DrainTime.Std(), 100*time.Millisecond, time.Hour)
+	c.Range("bounds.grace", b.Grace.Std(), time.Second, time.Hour)
+	c.Range("bounds.repeatWindow", b.RepeatWindow.Std(), time.Second, time.Hour)
 	if b.RepeatRatio < 0 || b.RepeatSlack < 0 {
 		c.Add("bounds.repeatRatio", "the ratio and the slack of repeats may not be below zero")
 	}
 }
-
-func checkRange(c *collector.Collector, key string, d decoder.Duration, lowest, highest time.Duration) {
-	if d.Std() < lowest || d.Std() > highest {
-		c.Add(key, "%s is not between %s and %s", d.Std(), lowest, highest)
-	}
-}
