--- a/internal/proxy/assembler/fault_test.go
+++ b/internal/proxy/assembler/fault_test.go
@@ -135,6 +135,32 @@
 	})
 }
 
+func TestRepeatedHandOverIsNotRunByTheNextProcess(t *testing.T) {
+	inMesh(t, []string{"x"}, func(m *mesh.Mesh) {
+		near, far := of(m, "a")[0], of(m, "b")[0]
+		far.Upstream.Set(time.Second, nil)
+		done := make(chan mesh.Answer, 1)
+		go func() { done <- near.Call(http.MethodPost, host, order, "repeated", 6*time.Second) }()
+		time.Sleep(200 * time.Millisecond)
+		So(far.Upstream.Runs("repeated"), ShouldEqual, 1)
+		// The sender sees neither the end of the process nor the start of the next
+		// one, and repeats the hand-over once it reaches the node again.
+		m.Network.Cut(func(from, to string) bool {
+			return (from == near.Name && to == far.Name) || (from == far.Name && to == near.Name)
+		})
+		time.Sleep(800 * time.Millisecond)
+		far.Kill()
+		So(far.Start(), ShouldBeNil)
+		time.Sleep(2 * time.Second)
+		So(far.Ready(), ShouldBeTrue)
+		m.Network.Cut(nil)
+		a := <-done
+		So(a.Status, ShouldEqual, http.StatusBadGateway)
+		time.Sleep(3 * time.Second)
+		So(runs(m, "repeated"), ShouldEqual, 1)
+	})
+}
+
 func TestReadGoesElsewhereWhenANodeIsKilled(t *testing.T) {
 	inMesh(t, []string{"x", "y"}, func(m *mesh.Mesh) {
 		near := of(m, "b")[0]
