subscriber, finder: starts cost three store calls; relays answer for the store

Change: a node that starts first gives its zone's relays time to answer; where the whole system starts for the first time (a setting) all but the first node of a zone wait until the nodes have met. Entries are read stale only; those who register at the same moment find each other in three early reads.

--- a/internal/observe/reporter/reporter.go
+++ b/internal/observe/reporter/reporter.go
@@ -228,8 +228,8 @@
 }
 
 // Registered implements finder.Observer.
-func (r *Reporter) Registered(entries int) {
-	r.log.WithFields(logrus.Fields{"event": "registered", "entries": entries}).Info("node registered")
+func (r *Reporter) Registered(members int) {
+	r.log.WithFields(logrus.Fields{"event": "registered", "members": members}).Info("node registered")
 }
 
 // RegistrationFailed implements finder.Observer.
--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -121,14 +121,15 @@
 	store := platform.NewStore(platform.StoreConfig{
 		Address: s.Platform.Address, Timeout: storeTimeout, Observe: p.report.StoreCall,
 	}, p.transport)
-	p.subscriber = subscriber.New(subscriber.Config{
-		Store: store, Key: platform.ConfigurationKey, Decode: platform.DecodeConfiguration,
-		Peers: p.peers, Relays: p.relays, Own: s.PeerAddress(), Ask: p.forwarder.Configuration, Observe: p.report,
-	})
 	p.finder = finder.New(finder.Config{
 		Store: store, Directory: p, Messenger: p.forwarder, Observe: p.report,
 		Seeds: s.SeedAddresses(), Known: p.known,
 	})
+	p.subscriber = subscriber.New(subscriber.Config{
+		Store: store, Key: platform.ConfigurationKey, Decode: platform.DecodeConfiguration,
+		Peers: p.peers, Relays: p.relays, Own: s.PeerAddress(), Ask: p.forwarder.Configuration, Observe: p.report,
+		Found: p.finder.Found(), FirstStart: s.FirstStart,
+	})
 }
 
 // Start opens the listeners and begins to serve. The context ends the
--- a/internal/proxy/assembler/configuration_test.go
+++ b/internal/proxy/assembler/configuration_test.go
@@ -163,3 +163,37 @@
 		t.Errorf("watches in a minute: %d with one pair of nodes, %d with three", counts[1], counts[3])
 	}
 }
+
+func TestStartsCostFewStoreCalls(t *testing.T) {
+	inMesh(t, []string{"x", "x", "x", "y", "y", "y"}, func(m *mesh.Mesh) {
+		first := m.Store.Counts()
+		So(first["lease"]+first["commit"], ShouldEqual, 2*len(m.Nodes))
+		So(first["range"], ShouldEqual, 0)
+		// Only the first node of each zone reads the configuration.
+		So(first["read"], ShouldBeLessThanOrEqualTo, 2)
+		// A node that starts later hears from its zone's relays.
+		last := m.Nodes[len(m.Nodes)-1]
+		last.Kill()
+		So(last.Start(), ShouldBeNil)
+		time.Sleep(2 * time.Second)
+		So(last.Ready(), ShouldBeTrue)
+		So(m.Store.Counts()["read"], ShouldEqual, first["read"])
+	})
+}
+
+func TestRestartOfAllServesSoon(t *testing.T) {
+	inMesh(t, []string{"x", "y"}, func(m *mesh.Mesh) {
+		for _, n := range m.Nodes {
+			n.Kill()
+		}
+		time.Sleep(time.Second)
+		for _, n := range m.Nodes {
+			So(n.Start(), ShouldBeNil)
+		}
+		time.Sleep(2 * time.Second)
+		for _, n := range m.Nodes {
+			So(n.Ready(), ShouldBeTrue)
+		}
+		So(m.Nodes[0].Call(http.MethodGet, host, read, "again", time.Second).Status, ShouldEqual, http.StatusOK)
+	})
+}
--- a/internal/proxy/finder/finder.go
+++ b/internal/proxy/finder/finder.go
@@ -1,7 +1,9 @@
 // Package finder makes the nodes of a deployment known to each other. Each node
-// writes its own entry into the platform's store under a lease and reads all
-// entries after that: of any two nodes the later writer sees the earlier one and
-// tells it of itself. What changes later is told from node to node.
+// reads the entries in the platform's store, writes its own under a lease and tells
+// the others of itself. Nodes that start at the same moment find each other's entries
+// when they read again, soon after the first time and at longer intervals later; a
+// read may be some seconds old, which makes it cheap. What changes later is told from
+// node to node.
 package finder
 
 import (
@@ -28,6 +30,9 @@
 	// and for one reading of all entries.
 	renewRounds = 3
 	readRounds  = 6
+	// earlyReads are the rounds after a registration in which the entries are read
+	// besides, for those who register at the same time.
+	earlyReads = 3
 	// tellTimeout bounds one message to another node.
 	tellTimeout = 2 * time.Second
 	// firstReport is how long a new node waits for its upstream before it
@@ -53,7 +58,9 @@
 
 // Observer is told of what a finder does.
 type Observer interface {
-	Registered(entries int)
+	// Registered takes in that the node's entry was written, and how many members
+	// it knows.
+	Registered(members int)
 	// RegistrationFailed and RegistrationRegained take in how the store answers.
 	RegistrationFailed(err error)
 	RegistrationRegained()
@@ -83,6 +90,8 @@
 	lease    keeper.LeaseID
 	instance string
 	failing  bool
+	// early is how many of the early reads are left.
+	early int
 
 	mu sync.Mutex
 	// told holds the newest word of ours that each process has.
@@ -122,7 +131,7 @@
 
 // Run registers the node and keeps it registered until the context ends.
 func (f *Finder) Run(ctx context.Context) {
-	if err := f.read(ctx, keeper.Stale); err != nil {
+	if err := f.read(ctx); err != nil {
 		f.lost(err)
 	}
 	if len(f.config.Directory.Members()) == 0 {
@@ -176,10 +185,13 @@
 		if err := f.register(ctx, own); err != nil {
 			return err
 		}
-		return f.read(ctx, keeper.Linearizable)
+		f.config.Observe.Registered(len(f.config.Directory.Members()))
+		f.early = earlyReads
+		return nil
 	}
-	if round%readRounds == 0 {
-		return f.read(ctx, keeper.Stale)
+	if f.early > 0 || round%readRounds == 0 {
+		f.early = max(0, f.early-1)
+		return f.read(ctx)
 	}
 	return nil
 }
@@ -223,8 +235,8 @@
 }
 
 // read takes in the entries of the others.
-func (f *Finder) read(ctx context.Context, c keeper.Consistency) error {
-	snapshot, err := f.config.Store.Range(ctx, prefix, c)
+func (f *Finder) read(ctx context.Context) error {
+	snapshot, err := f.config.Store.Range(ctx, prefix, keeper.Stale)
 	if err != nil {
 		return err
 	}
@@ -238,9 +250,6 @@
 		listed[m.Node] = true
 		f.learn(m, "store")
 	}
-	if c == keeper.Linearizable {
-		f.config.Observe.Registered(len(listed))
-	}
 	f.forgetUnlisted(ctx, listed)
 	return nil
 }
--- a/internal/proxy/subscriber/subscriber.go
+++ b/internal/proxy/subscriber/subscriber.go
@@ -4,7 +4,9 @@
 // In each availability zone the first node follows the platform's store. The
 // second asks the first, the others ask both: these two are the zone's relays. A
 // node whose relays do not answer, or hear of no changes themselves, follows the
-// store itself. While the store fails too, any other node is asked.
+// store itself. While the store fails too, any other node is asked. A node that
+// starts gives the relays a moment to answer; where the whole system starts for the
+// first time, it waits until the nodes have found each other.
 package subscriber
 
 import (
@@ -40,6 +42,12 @@
 	relayWait = 2 * time.Second
 	// rolePause is the pause between looks at whether the node is a relay.
 	rolePause = 200 * time.Millisecond
+	// firstAnswer is how long the relays may take to answer a node that starts, and
+	// firstMeeting how long nodes that all start at once may take to find each other.
+	firstAnswer  = 700 * time.Millisecond
+	firstMeeting = 3 * time.Second
+	// startPause is the pause between looks at whether a relay has answered.
+	startPause = 50 * time.Millisecond
 )
 
 // Observer is told of what a subscriber does.
@@ -65,6 +73,10 @@
 	Relays func() []Relay
 	// Own is the node's own address.
 	Own string
+	// Found is closed once the node has looked for others.
+	Found <-chan struct{}
+	// FirstStart says that the whole system starts for the first time.
+	FirstStart bool
 	// Ask asks another node for a newer configuration.
 	Ask     func(ctx context.Context, address string, args forwarder.ConfigurationArgs) (forwarder.ConfigurationReply, error)
 	Observe Observer
@@ -84,6 +96,8 @@
 	following atomic.Bool
 	// relayed says for each relay that it answers and hears of changes itself.
 	relayed [relayCount]atomic.Bool
+	// asked says for each relay that it was asked, or that there was none to ask.
+	asked [relayCount]atomic.Bool
 	// hinted receives when another node has a newer version.
 	hinted chan struct{}
 
@@ -121,10 +135,16 @@
 
 // Run keeps the configuration up to date until the context ends.
 func (s *Subscriber) Run(ctx context.Context) {
+	select {
+	case <-s.config.Found:
+	case <-ctx.Done():
+		return
+	}
 	go s.followPeers(ctx)
 	for i := range relayCount {
 		go s.followRelay(ctx, i)
 	}
+	s.awaitRelays(ctx)
 	pause := time.Duration(0)
 	for pauser.Pause(ctx, pause) {
 		pause = rolePause
@@ -148,6 +168,41 @@
 	}
 }
 
+// awaitRelays returns once a relay passes changes on, or its time to begin is up.
+func (s *Subscriber) awaitRelays(ctx context.Context) {
+	began := time.Now()
+	for s.mustFollow() && time.Since(began) < s.patience() {
+		if !pauser.Pause(ctx, startPause) {
+			return
+		}
+	}
+}
+
+// patience is how long a node that starts waits for a relay. Where all start at
+// once, the first relay begins before the others.
+func (s *Subscriber) patience() time.Duration {
+	switch relays := s.config.Relays(); {
+	case !s.config.FirstStart && s.heardRelays():
+		return 0
+	case !s.config.FirstStart:
+		return firstAnswer
+	case len(relays) > 0 && relays[0].Address == s.config.Own:
+		return firstMeeting
+	default:
+		return firstMeeting + firstAnswer
+	}
+}
+
+// heardRelays says that every relay was asked once.
+func (s *Subscriber) heardRelays() bool {
+	for i := range relayCount {
+		if !s.asked[i].Load() {
+			return false
+		}
+	}
+	return true
+}
+
 // mustFollow says whether the node follows the store itself: no relay tells it
 // of changes. The first node of a zone has none.
 func (s *Subscriber) mustFollow() bool {
@@ -211,6 +266,7 @@
 		relay, found := s.relay(index)
 		if !found {
 			s.setRelayed(index, false)
+			s.asked[index].Store(true)
 			if !pauser.Pause(ctx, rolePause) {
 				return
 			}
@@ -218,6 +274,7 @@
 		}
 		reply, err := s.ask(ctx, relay, relayWait)
 		s.setRelayed(index, err == nil && reply.Following)
+		s.asked[index].Store(true)
 		if err == nil {
 			s.take(ctx, relay, reply, "relay")
 		}
--- a/internal/settings/reader/reader.go
+++ b/internal/settings/reader/reader.go
@@ -20,6 +20,8 @@
 	Listen   Listen   `yaml:"listen"`
 	Platform Platform `yaml:"platform"`
 	Upstream Upstream `yaml:"upstream"`
+	// FirstStart says that the whole system starts for the first time.
+	FirstStart bool `yaml:"firstStart"`
 	// Seeds are addresses of nodes that may be up; their ports are those of
 	// Listen.Control.
 	Seeds  []string `yaml:"seeds"`
--- a/standin/metastore/http.go
+++ b/standin/metastore/http.go
@@ -42,7 +42,11 @@
 func (s *Store) guard(operation string, serve func(*http.Request) (int, any)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
-		s.calls[operation]++
+		if r.FormValue("stale_read") == "1" {
+			s.calls["stale "+operation]++
+		} else {
+			s.calls[operation]++
+		}
 		faults := s.faults
 		s.expire()
 		s.mu.Unlock()
