subscriber: the store's return costs no whole configurations; the last upstream is not given up

While the store was silent the relays heard of no changes, so every node followed the store itself; when it was back, 87 nodes read 950 KB each within 0.1 s over links of 7 Mbit/s. Nodes seemed silent to each other for over half a second (peerLost at nodes that lived), and reads that ran at their second and last upstream ended with 502, also at nodes that were about to stop.

Ruled out: stopping itself (the calls were given up at their 0.9th and 1.2th second of five), killed nodes (d-7 and c-1 lived on).

Change: a node that is no relay leaves the store to the relays for 0.7 to 2.5 s by its place in the zone; a question to a relay is answered as soon as the relay hears of changes again; a node that knows a revision asks for what changed since. A call is asked for again at the last upstream that may get it until its deadline, idempotent or not.

--- a/internal/proxy/assembler/configuration_test.go
+++ b/internal/proxy/assembler/configuration_test.go
@@ -197,3 +197,21 @@
 		So(m.Nodes[0].Call(http.MethodGet, host, read, "again", time.Second).Status, ShouldEqual, http.StatusOK)
 	})
 }
+
+func TestReturnOfTheStoreCostsNoWholeConfigurations(t *testing.T) {
+	inMesh(t, []string{"x", "x", "x", "x"}, func(m *mesh.Mesh) {
+		m.Store.SetFaults(metastore.Faults{Busy: true})
+		time.Sleep(10 * time.Second)
+		m.Store.SetFaults(metastore.Faults{})
+		before := m.Store.Counts()
+		time.Sleep(1500 * time.Millisecond)
+		configure(m, 8, idempotent(read, "a"), nonIdempotent(order, "b"))
+		time.Sleep(inForce)
+		lowest, _ := versions(m)
+		So(lowest, ShouldEqual, 8)
+		after := m.Store.Counts()
+		So(after["read"], ShouldEqual, before["read"])
+		// The relays hear of changes first, and then nobody else asks.
+		So(after["watch"]-before["watch"], ShouldBeLessThan, 2*len(m.Nodes))
+	})
+}
--- a/internal/proxy/assembler/fault_test.go
+++ b/internal/proxy/assembler/fault_test.go
@@ -178,6 +178,31 @@
 	})
 }
 
+func TestReadIsNotGivenUpAtItsLastUpstream(t *testing.T) {
+	inMesh(t, []string{"x", "y"}, func(m *mesh.Mesh) {
+		near := of(m, "b")[0]
+		for _, n := range of(m, "a") {
+			n.Upstream.Set(4*time.Second, nil)
+		}
+		done := make(chan mesh.Answer, 1)
+		go func() { done <- near.Call(http.MethodGet, host, read, "last", 9*time.Second) }()
+		time.Sleep(200 * time.Millisecond)
+		first := runner(m, "last")
+		first.Kill()
+		time.Sleep(time.Second)
+		So(runs(m, "last"), ShouldEqual, 2)
+		for _, n := range of(m, "a") {
+			if n != first {
+				cutBetween(m, near.Name, n.Name, 2*time.Second)
+			}
+		}
+		a := <-done
+		So(a.Err, ShouldBeNil)
+		So(a.Status, ShouldEqual, http.StatusOK)
+		So(runs(m, "last"), ShouldEqual, 2)
+	})
+}
+
 func TestLeavingUpstreamGetsNoCallsAfterItsTime(t *testing.T) {
 	for _, signOff := range []bool{false, true} {
 		t.Run(fmt.Sprintf("sign-off first: %v", signOff), func(t *testing.T) {
--- a/internal/proxy/dispatcher/dispatcher.go
+++ b/internal/proxy/dispatcher/dispatcher.go
@@ -28,7 +28,7 @@
 
 // Forwarder hands calls over to other nodes.
 type Forwarder interface {
-	Forward(ctx context.Context, m balancer.Member, job executor.Job) forwarder.RunReply
+	Forward(ctx context.Context, m balancer.Member, job executor.Job, elsewhere bool) forwarder.RunReply
 }
 
 // Executor runs calls at the upstream beside the node.
--- a/internal/proxy/dispatcher/placement.go
+++ b/internal/proxy/dispatcher/placement.go
@@ -45,6 +45,8 @@
 	candidate *balancer.Candidate
 	member    balancer.Member
 	began     time.Time
+	// last says that no further upstream may get the call if this one does.
+	last bool
 }
 
 // place hands the call over until an upstream has answered or no further
@@ -146,12 +148,13 @@
 	}
 	p.tried = append(p.tried, member.Node)
 	p.open++
-	return handOver{candidate: candidate, member: member, began: time.Now()}, true
+	last := !p.match.Idempotent || p.arrivals+p.open >= p.match.MaxAttempts
+	return handOver{candidate: candidate, member: member, began: time.Now(), last: last}, true
 }
 
 // run hands the call over and takes in how that ended.
 func (p *placement) run(ctx context.Context, h handOver) carrier.Result {
-	return p.learn(h, p.send(ctx, h.member, p.job()))
+	return p.learn(h, p.send(ctx, h, p.job()))
 }
 
 func (p *placement) job() executor.Job {
@@ -163,9 +166,9 @@
 	}
 }
 
-func (p *placement) send(ctx context.Context, m balancer.Member, job executor.Job) forwarder.RunReply {
-	if m.Node != p.d.Node {
-		return p.d.Forward.Forward(ctx, m, job)
+func (p *placement) send(ctx context.Context, h handOver, job executor.Job) forwarder.RunReply {
+	if h.member.Node != p.d.Node {
+		return p.d.Forward.Forward(ctx, h.member, job, !h.last)
 	}
 	result, service := p.d.Execute.Execute(ctx, job)
 	return forwarder.RunReply{Result: result, Service: service, Load: p.d.Execute.Load(time.Now())}
--- a/internal/proxy/forwarder/forwarder.go
+++ b/internal/proxy/forwarder/forwarder.go
@@ -31,8 +31,8 @@
 	cancelTimeout = time.Second
 	// rejoinPause is the pause between attempts to reach a node that holds a call.
 	rejoinPause = 100 * time.Millisecond
-	// maxRejoinsIdempotent bounds the attempts for calls that may run elsewhere.
-	maxRejoinsIdempotent = 1
+	// maxRejoinsElsewhere bounds the attempts for calls that may run elsewhere.
+	maxRejoinsElsewhere = 1
 )
 
 // Forwarder is the sending side.
@@ -113,8 +113,10 @@
 }
 
 // Forward hands a call over and waits for its result. The context ends when the
-// caller is gone or its deadline has passed.
-func (f *Forwarder) Forward(ctx context.Context, m balancer.Member, job executor.Job) RunReply {
+// caller is gone or its deadline has passed. Elsewhere says that the call may run at
+// another node if this one does not answer; otherwise only this one can still tell how
+// it ended, and is asked again until the context ends.
+func (f *Forwarder) Forward(ctx context.Context, m balancer.Member, job executor.Job, elsewhere bool) RunReply {
 	name := fencer.HandOver{Sender: f.sender, Number: f.number.Add(1)}
 	a := &attempt{args: RunArgs{HandOver: name, Start: m.Start}, job: job, began: time.Now()}
 	for tries := 1; ; tries++ {
@@ -133,7 +135,7 @@
 			continue
 		case !a.sent:
 			return lost(false)
-		case errors.Is(err, syscall.ECONNREFUSED), job.Idempotent && tries > maxRejoinsIdempotent:
+		case errors.Is(err, syscall.ECONNREFUSED), elsewhere && tries > maxRejoinsElsewhere:
 			go f.cancel(m.Address, name)
 			return lost(true)
 		}
--- a/internal/proxy/forwarder/messages.go
+++ b/internal/proxy/forwarder/messages.go
@@ -60,6 +60,9 @@
 // ConfigurationReply holds a newer configuration; its version is 0 if there is none.
 type ConfigurationReply struct {
 	encoder.Message
+	// Revision is the store's revision up to which the answering node knows that
+	// there is no newer version.
+	Revision int64
 	// Following says that the answering node hears of changes itself.
 	Following bool
 }
--- a/internal/proxy/subscriber/subscriber.go
+++ b/internal/proxy/subscriber/subscriber.go
@@ -30,8 +30,14 @@
 	// gatherTime is the pause after a change, in which further changes gather:
 	// a stream of versions costs one call a pause.
 	gatherTime = 600 * time.Millisecond
-	// retryPause is the pause after a failed call to the store.
+	// retryPause is a relay's pause after a failed call to the store.
 	retryPause = 700 * time.Millisecond
+	// takeoverPause is how long another node waits for the relays to hear of changes
+	// again before it asks the store itself; takeoverSpread is added for each node
+	// before it, up to takeoverNodes of them, so that not all ask at once.
+	takeoverPause  = 500 * time.Millisecond
+	takeoverSpread = 100 * time.Millisecond
+	takeoverNodes  = 20
 	// peerWait is how long another node may take to tell of a newer version.
 	peerWait = time.Second
 	// peerPause is the pause between questions to other nodes.
@@ -103,6 +109,9 @@
 
 	mu      sync.Mutex
 	history encoder.History
+	// revision is the store's revision up to which the version in force is known to
+	// be the newest.
+	revision keeper.Revision
 	changed chan struct{}
 }
 
@@ -152,12 +161,16 @@
 			s.setFollowing(false)
 			continue
 		}
+		if !pauser.Pause(ctx, s.takeover()) || !s.mustFollow() {
+			continue
+		}
 		err := s.followStore(ctx)
 		var lost *keeper.HistoryLostError
 		switch {
 		case ctx.Err() != nil:
 			return
 		case errors.As(err, &lost):
+			s.know(0)
 			pause = 0
 		case err != nil:
 			pause = retryPause
@@ -168,6 +181,37 @@
 	}
 }
 
+// takeover is how long a node gives the relays before it asks the store itself:
+// nothing for a relay, or for a node that has no version yet.
+func (s *Subscriber) takeover() time.Duration {
+	if s.Version() == 0 || s.following.Load() {
+		return 0
+	}
+	for position, r := range s.config.Relays() {
+		if r.Address != s.config.Own {
+			continue
+		}
+		if position < relayCount {
+			return 0
+		}
+		return takeoverPause + time.Duration(min(position, takeoverNodes))*takeoverSpread
+	}
+	return takeoverPause
+}
+
+// know notes up to which revision of the store the version in force is the newest.
+func (s *Subscriber) know(revision keeper.Revision) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision = revision
+}
+
+func (s *Subscriber) known() keeper.Revision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
 // awaitRelays returns once a relay passes changes on, or its time to begin is up.
 func (s *Subscriber) awaitRelays(ctx context.Context) {
 	began := time.Now()
@@ -220,22 +264,21 @@
 // setFollowing returns what it was before.
 func (s *Subscriber) setFollowing(follows bool) bool {
 	before := s.following.Swap(follows)
-	s.tellStale()
+	if before != follows {
+		s.tellFresh()
+	}
 	return before
 }
 
 func (s *Subscriber) setRelayed(index int, relayed bool) {
 	if s.relayed[index].Swap(relayed) != relayed {
-		s.tellStale()
+		s.tellFresh()
 	}
 }
 
-// tellStale wakes those who wait for a version from this node when it does not
-// hear of changes any more.
-func (s *Subscriber) tellStale() {
-	if s.fresh() {
-		return
-	}
+// tellFresh wakes those who wait for a version from this node: whether it hears of
+// changes may have changed.
+func (s *Subscriber) tellFresh() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.wake()
@@ -284,31 +327,20 @@
 	}
 }
 
-// followStore reads the configuration and watches it until a call fails.
+// followStore takes in what the store has and watches it until a call fails.
 func (s *Subscriber) followStore(ctx context.Context) error {
-	item, revision, err := s.config.Store.Read(ctx, s.config.Key)
-	var missing *keeper.NotFoundError
-	if err != nil && !errors.As(err, &missing) {
+	if err := s.catchUp(ctx); err != nil {
 		return err
 	}
 	if !s.setFollowing(true) {
 		s.config.Observe.StoreRegained()
 	}
-	if err == nil {
-		s.apply(item.Value, "store")
-	}
 	for {
-		events, err := s.watch(ctx, revision)
+		events, err := s.watch(ctx, s.known())
 		if err != nil {
 			return err
 		}
-		for i := len(events.List) - 1; i >= 0; i-- {
-			if event := events.List[i]; event.Key == s.config.Key && !event.Deleted {
-				s.apply(event.Value, "store")
-				break
-			}
-		}
-		revision = events.Revision
+		s.takeEvents(events)
 		if len(events.List) > 0 && !pauser.Pause(ctx, gatherTime) {
 			return ctx.Err()
 		}
@@ -318,6 +350,44 @@
 	}
 }
 
+// catchUp takes in the store's version. A node that knows a revision asks for what
+// changed since then: a whole configuration for each node at once would fill their
+// links when the store is back.
+func (s *Subscriber) catchUp(ctx context.Context) error {
+	if revision := s.known(); revision > 0 {
+		events, err := s.config.Store.Follow(ctx, s.config.Key, revision, shortestWatch)
+		if err == nil {
+			s.takeEvents(events)
+		}
+		return err
+	}
+	item, revision, err := s.config.Store.Read(ctx, s.config.Key)
+	var missing *keeper.NotFoundError
+	if errors.As(err, &missing) {
+		s.know(revision)
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	s.apply(item.Value, "store")
+	s.know(revision)
+	return nil
+}
+
+// shortestWatch is the wait of a watch that only asks what there is.
+const shortestWatch = time.Millisecond
+
+func (s *Subscriber) takeEvents(events keeper.Events) {
+	for i := len(events.List) - 1; i >= 0; i-- {
+		if event := events.List[i]; event.Key == s.config.Key && !event.Deleted {
+			s.apply(event.Value, "store")
+			break
+		}
+	}
+	s.know(events.Revision)
+}
+
 // errHinted ends a watch because another node is ahead of it.
 var errHinted = errors.New("another node has a newer version")
 
@@ -386,6 +456,9 @@
 // take brings what another node told into force. A patch that does not lead to the
 // version that it stands for is replaced by the whole.
 func (s *Subscriber) take(ctx context.Context, r Relay, reply forwarder.ConfigurationReply, source string) {
+	if reply.Version == 0 && reply.Following && reply.Revision > 0 {
+		s.know(max(s.known(), keeper.Revision(reply.Revision)))
+	}
 	if reply.Version <= s.Version() {
 		return
 	}
@@ -401,6 +474,7 @@
 		}
 	}
 	s.apply(data, source)
+	s.know(keeper.Revision(reply.Revision))
 }
 
 func (s *Subscriber) decode(m encoder.Message) ([]byte, error) {
@@ -431,6 +505,7 @@
 // Next returns a configuration newer than have, waiting for one until the
 // context ends.
 func (s *Subscriber) Next(ctx context.Context, have int64) forwarder.ConfigurationReply {
+	fresh := s.fresh()
 	for {
 		s.mu.Lock()
 		changed := s.changed
@@ -438,17 +513,22 @@
 		if s.Version() > have {
 			return s.reply(have)
 		}
+		if s.fresh() != fresh {
+			return s.unchanged()
+		}
 		select {
 		case <-ctx.Done():
-			return forwarder.ConfigurationReply{Following: s.fresh()}
+			return s.unchanged()
 		case <-changed:
-			if !s.fresh() && s.Version() <= have {
-				return forwarder.ConfigurationReply{}
-			}
 		}
 	}
 }
 
+// unchanged says that there is no newer version.
+func (s *Subscriber) unchanged() forwarder.ConfigurationReply {
+	return forwarder.ConfigurationReply{Following: s.fresh(), Revision: int64(s.known())}
+}
+
 func (s *Subscriber) reply(have int64) forwarder.ConfigurationReply {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -456,5 +536,5 @@
 	if err != nil {
 		s.config.Observe.Unusable("encoder", err)
 	}
-	return forwarder.ConfigurationReply{Message: message, Following: s.fresh()}
+	return forwarder.ConfigurationReply{Message: message, Following: s.fresh(), Revision: int64(s.revision)}
 }
