gater: calls that lead to a service short of room leave it to its urgent work

Ruled out: placement (one upstream is left), the order of the queue (a nested call that is turned away wastes its parent's work).

Change: gater (pure). The node beside an upstream learns which services its calls lead to, hears with their results how long the urgent calls wait there, and admits a falling share of less urgent calls, a quarter at least. The refusal is true, goes to no other node and says when to come back.

--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -82,6 +82,9 @@
 	p.report = reporter.New(s.Node.ID, s.Node.AvailabilityZone, config.Output)
 	p.executor = executor.New(executor.Config{
 		Dialect: platform.HTTP{}, Dial: p.network.Dial, DrainTime: p.bounds.DrainTime.Std(), Changed: p.upstreamChanged,
+		Admit: func(kind string, rank int, now time.Time) (time.Duration, bool) {
+			return p.dispatcher.Admit(kind, rank, now)
+		},
 	})
 	p.forwarder = forwarder.New(s.Node.ID, p.start, p.network.Dial)
 	var err error
--- a/internal/proxy/balancer/balancer.go
+++ b/internal/proxy/balancer/balancer.go
@@ -446,3 +446,25 @@
 	busy := max(c.outstanding, c.load.InUse+c.load.Waiting)
 	return float64(busy) < roomShare*float64(c.Slots) && b.expectedTime(c, n, now) < n.Remaining
 }
+
+// waitMemory is how long a told wait says something of the next call.
+const waitMemory = time.Second
+
+// Wait is the shortest time that a call of a class would wait at the upstreams of a
+// service, as they told with their last results; zero if nothing is known of now.
+func (b *Balancer) Wait(service string, class queuer.Class, now time.Time) time.Duration {
+	shortest := time.Duration(-1)
+	for _, c := range b.services[service] {
+		if c.Leaving || c.load.Leaving || now.Before(c.ejectedUntil) {
+			continue
+		}
+		wait := time.Duration(0)
+		if now.Sub(c.loadAt) < waitMemory {
+			wait = c.load.Waits[class]
+		}
+		if shortest < 0 || wait < shortest {
+			shortest = wait
+		}
+	}
+	return max(0, shortest)
+}
--- a/internal/proxy/carrier/carrier.go
+++ b/internal/proxy/carrier/carrier.go
@@ -85,6 +85,7 @@
 	PeerUnreachable     Reason = "peerUnreachable"
 	PeerLost            Reason = "peerLost"
 	Stopping            Reason = "stopping"
+	UrgentFirst         Reason = "urgentFirst"
 	BodyTooLarge        Reason = "bodyTooLarge"
 )
 
--- a/internal/proxy/dispatcher/dispatcher.go
+++ b/internal/proxy/dispatcher/dispatcher.go
@@ -14,6 +14,8 @@
 	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/executor"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/forwarder"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/gater"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/queuer"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/recognizer"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/retrier"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/router"
@@ -35,8 +37,8 @@
 type Executor interface {
 	Execute(ctx context.Context, job executor.Job) (carrier.Result, time.Duration)
 	Load(now time.Time) balancer.Load
-	// Runs says whether the upstream runs the call with the ID.
-	Runs(id string) bool
+	// Runs returns the kind of the call with the ID, and whether the upstream runs it.
+	Runs(id string) (string, bool)
 }
 
 // Observer is told how each call ended.
@@ -97,13 +99,16 @@
 	Config
 
 	mu         sync.Mutex
+	gate       *gater.Gate
 	retrier    *retrier.Retrier
 	recognizer *recognizer.Recognizer
 }
 
 // New returns a dispatcher.
 func New(config Config) *Dispatcher {
-	return &Dispatcher{Config: config, retrier: retrier.New(config.Budget), recognizer: recognizer.New()}
+	return &Dispatcher{
+		Config: config, gate: gater.New(), retrier: retrier.New(config.Budget), recognizer: recognizer.New(),
+	}
 }
 
 // defaultLimits hold until a configuration is in force.
@@ -127,13 +132,45 @@
 
 // Nested implements acceptor.Handler.
 func (d *Dispatcher) Nested(call carrier.Call) bool {
-	return call.Parent != "" && d.Execute.Runs(call.Parent)
+	_, nested := d.parentKind(call)
+	return nested
+}
+
+// parentKind returns the kind of the call for which the upstream beside the node makes
+// this one, and whether it does.
+func (d *Dispatcher) parentKind(call carrier.Call) (string, bool) {
+	if call.Parent == "" {
+		return "", false
+	}
+	return d.Execute.Runs(call.Parent)
+}
+
+// Admit says whether a call may begin at the upstream beside the node, or must leave
+// the room at the services that it calls to their more urgent work.
+func (d *Dispatcher) Admit(kind string, rank int, now time.Time) (time.Duration, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.gate.Admit(kind, rank, func(service string, rank int) time.Duration {
+		return d.Balancer.Wait(service, queuer.ClassOf(rank, false), now)
+	}, now)
+}
+
+// learnDemand takes in what callers ask of a service, or which kind of call leads to it.
+func (d *Dispatcher) learnDemand(e Event, parentKind string, objective time.Duration, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if e.Nested {
+		d.gate.Learn(parentKind, e.Service)
+		return
+	}
+	d.gate.Called(e.Service, e.Rank, objective, now)
 }
 
 // Handle implements acceptor.Handler.
 func (d *Dispatcher) Handle(ctx context.Context, call carrier.Call, received time.Time) acceptor.Response {
 	table := d.Table()
-	event := Event{Call: call, Nested: d.Nested(call)}
+	kind, nested := d.parentKind(call)
+	event := Event{Call: call, Nested: nested}
 	if table == nil {
 		return d.end(event, carrier.Refuse(carrier.NoConfiguration), received, longestWait)
 	}
@@ -143,6 +180,7 @@
 		return d.end(event, carrier.Refuse(carrier.NoRoute), received, longestWait)
 	}
 	event.Route, event.Service, event.Rank = match.Name, match.Service, match.Rank
+	d.learnDemand(event, kind, match.Objective, received)
 	patience := patienceOf(call, match)
 	ctx, cancel := context.WithDeadline(ctx, received.Add(patience+answerMargin))
 	defer cancel()
--- a/internal/proxy/dispatcher/dispatcher_test.go
+++ b/internal/proxy/dispatcher/dispatcher_test.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"context"
 	"net/http"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/router"
 )
 
 func TestStatusPromisesNoMoreThanTheOutcome(t *testing.T) {
@@ -67,3 +69,17 @@
 		}
 	})
 }
+
+func TestCallThatGivesWayToUrgentWorkGoesToNoOtherNode(t *testing.T) {
+	p := &placement{
+		match:    router.Match{Route: &router.Route{MaxAttempts: 3}},
+		received: time.Now(), patience: time.Minute,
+	}
+	Convey("Every node would hold the call back for the same work", t, func() {
+		So(p.goOn(context.Background(), carrier.Refuse(carrier.WaitTooLong)), ShouldBeTrue)
+		So(p.goOn(context.Background(), carrier.Refuse(carrier.UrgentFirst)), ShouldBeFalse)
+		wait := carrier.Result{Outcome: carrier.NotRun, Reason: carrier.UrgentFirst, Wait: 200 * time.Millisecond}
+		So(statusOf(wait), ShouldEqual, http.StatusServiceUnavailable)
+		So(pauseOf(wait, time.Second), ShouldEqual, wait.Wait)
+	})
+}
--- a/internal/proxy/dispatcher/pause.go
+++ b/internal/proxy/dispatcher/pause.go
@@ -23,7 +23,7 @@
 		return 0
 	}
 	pause := repairPause
-	if r.Reason == carrier.WaitTooLong {
+	if r.Reason == carrier.WaitTooLong || r.Reason == carrier.UrgentFirst {
 		pause = r.Wait
 	}
 	longest := time.Duration(leftShare * float64(left))
--- a/internal/proxy/dispatcher/placement.go
+++ b/internal/proxy/dispatcher/placement.go
@@ -98,7 +98,7 @@
 
 // goOn says whether the call may be handed over again after a result.
 func (p *placement) goOn(ctx context.Context, r carrier.Result) bool {
-	if ctx.Err() != nil || r.Reason == carrier.CallerGone || r.Reason == carrier.DeadlineExceeded {
+	if ctx.Err() != nil || r.Reason == carrier.CallerGone || r.Reason == carrier.DeadlineExceeded || r.Reason == carrier.UrgentFirst {
 		return false
 	}
 	if r.Outcome != carrier.NotRun && !p.match.Idempotent {
@@ -216,7 +216,7 @@
 		o.Full, o.Failed = true, true
 	case carrier.AnswerBroken, carrier.DeadlineExceeded:
 		o.Failed = true
-	case carrier.CallerGone:
+	case carrier.CallerGone, carrier.UrgentFirst:
 	default:
 		o.Unreachable = true
 	}
--- a/internal/proxy/executor/executor.go
+++ b/internal/proxy/executor/executor.go
@@ -35,6 +35,9 @@
 	Dial    Dial
 	// DrainTime is how long after its acknowledged leaving an upstream may get calls.
 	DrainTime time.Duration
+	// Admit says whether a call of a kind and rank that no upstream made may begin;
+	// if not, how long the more urgent work waits that goes first. Nil admits all.
+	Admit func(kind string, rank int, now time.Time) (time.Duration, bool)
 	// Changed is called when the node has something new to tell of its upstream.
 	Changed func()
 }
@@ -48,8 +51,8 @@
 	mu      sync.Mutex
 	tracker *tracker.Tracker
 	queue   *queuer.Queue
-	// running holds the IDs of the calls that the upstream runs.
-	running          map[string]int
+	// running holds the calls that the upstream runs, by their IDs.
+	running          map[string]*running
 	unreachableUntil time.Time
 	stopping         bool
 }
@@ -58,10 +61,16 @@
 func New(config Config) *Executor {
 	return &Executor{
 		config: config, dialect: config.Dialect, pool: newPool(config.Dial), tracker: tracker.New(), queue: queuer.New(),
-		running: map[string]int{},
+		running: map[string]*running{},
 	}
 }
 
+// running is a call that the upstream runs; one ID may stand for several.
+type running struct {
+	count int
+	kind  string
+}
+
 // Report takes in a heartbeat and returns what it changed.
 func (e *Executor) Report(r tracker.Report, now time.Time) tracker.Verdict {
 	e.mu.Lock()
@@ -140,6 +149,11 @@
 	defer cancel()
 	ticket := queuer.NewTicket(job.Kind, job.Rank, job.Nested, now.Add(job.Objective), deadline)
 	ticket.Arrived = now.Add(-job.Waited)
+	if !job.Nested && e.config.Admit != nil {
+		if wait, admitted := e.config.Admit(job.Kind, job.Rank, now); !admitted {
+			return carrier.Result{Outcome: carrier.NotRun, Reason: carrier.UrgentFirst, Wait: wait}, 0
+		}
+	}
 	if refusal, refused := e.enter(ticket, job, now); refused {
 		return refusal, 0
 	}
@@ -148,7 +162,7 @@
 	}
 	started := time.Now()
 	e.mu.Lock()
-	e.running[job.Call.ID]++
+	e.started(job.Call.ID, job.Kind)
 	e.mu.Unlock()
 	result := e.run(ctx, job, deadline)
 	now = time.Now()
@@ -165,18 +179,32 @@
 	return r.Outcome == carrier.Run && r.Answer.Status < http.StatusInternalServerError
 }
 
+func (e *Executor) started(id, kind string) {
+	r := e.running[id]
+	if r == nil {
+		r = &running{kind: kind}
+		e.running[id] = r
+	}
+	r.count++
+}
+
 func (e *Executor) finished(id string) {
-	e.running[id]--
-	if e.running[id] == 0 {
+	r := e.running[id]
+	r.count--
+	if r.count == 0 {
 		delete(e.running, id)
 	}
 }
 
-// Runs says whether the upstream runs the call with the ID.
-func (e *Executor) Runs(id string) bool {
+// Runs returns the kind of the call with the ID, and whether the upstream runs it.
+func (e *Executor) Runs(id string) (string, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.running[id] > 0
+	r, runs := e.running[id]
+	if !runs {
+		return "", false
+	}
+	return r.kind, true
 }
 
 // enter puts the ticket into the queue unless the upstream can't take the call.
--- a/internal/proxy/subscriber/subscriber.go
+++ b/internal/proxy/subscriber/subscriber.go
@@ -112,7 +112,7 @@
 	// revision is the store's revision up to which the version in force is known to
 	// be the newest.
 	revision keeper.Revision
-	changed chan struct{}
+	changed  chan struct{}
 }
 
 // New returns a subscriber without a configuration.
