balancer, dispatcher: a refused call goes on only where there may be room

Nodes refuse the like of a call that another node has refused for them some milliseconds before.

Ruled out: to refuse without any hand-over while all are full (some node must go on asking, or slots that come free stay empty).

After a refusal a call goes on only to nodes without one.

--- a/internal/proxy/balancer/balancer.go
+++ b/internal/proxy/balancer/balancer.go
@@ -64,7 +64,8 @@
 	failureRate  float64
 	failedAt     time.Time
 	ejectedUntil time.Time
-	fullUntil    time.Time
+	// fullUntil holds for each class until when a refusal of such a call is believed.
+	fullUntil [queuer.Classes]time.Time
 }
 
 // serviceTime is the mean time of a kind of call at one upstream.
@@ -88,6 +89,8 @@
 	Remaining time.Duration
 	// Tried names the nodes that can't take this call.
 	Tried []string
+	// SkipFull leaves out the nodes that are known to have no room for the call.
+	SkipFull bool
 }
 
 // Balancer knows the candidates of all services. It is used under its owner's
@@ -183,7 +186,7 @@
 	var bestTime time.Duration
 	bestWorth := 0.0
 	for _, c := range b.services[n.Service] {
-		if contains(n.Tried, c.Node) {
+		if contains(n.Tried, c.Node) || (n.SkipFull && c.full(n.Class, now)) {
 			continue
 		}
 		expected := b.expectedTime(c, n, now)
@@ -234,12 +237,23 @@
 	if now.Before(c.ejectedUntil) {
 		worth -= stepEjected
 	}
-	if now.Before(c.fullUntil) {
+	if c.full(n.Class, now) {
 		worth -= stepFull
 	}
 	return worth
 }
 
+// full says that a call of a class, or of a more urgent one, was refused for want of
+// room just now.
+func (c *Candidate) full(class queuer.Class, now time.Time) bool {
+	for _, until := range c.fullUntil[:class+1] {
+		if now.Before(until) {
+			return true
+		}
+	}
+	return false
+}
+
 // price is the part of a call's worth that its bytes between zones cost.
 func (b *Balancer) price(n Need) float64 {
 	kilobytes := (envelopeBytes + b.bytes[n.Kind]) / 1000
@@ -329,6 +343,8 @@
 // Outcome is what one hand-over taught.
 type Outcome struct {
 	Kind string
+	// Class is the call's place in the order of a queue.
+	Class queuer.Class
 	// Answered says that the upstream gave a usable answer, in Service.
 	Answered bool
 	Service  time.Duration
@@ -352,7 +368,7 @@
 		c.load, c.loadAt, c.sinceLoad = *o.Load, now, 0
 	}
 	if o.Full {
-		c.fullUntil = now.Add(fullMemory)
+		c.fullUntil[o.Class] = now.Add(fullMemory)
 	}
 	switch {
 	case o.Answered:
@@ -440,7 +456,7 @@
 // is likely to answer before the call's deadline.
 func (b *Balancer) HasRoom(n Need, now time.Time) bool {
 	c := b.best(n, now)
-	if c == nil || now.Before(c.ejectedUntil) || now.Before(c.fullUntil) || c.Leaving {
+	if c == nil || now.Before(c.ejectedUntil) || c.full(n.Class, now) || c.Leaving {
 		return false
 	}
 	busy := max(c.outstanding, c.load.InUse+c.load.Waiting)
--- a/internal/proxy/balancer/balancer_test.go
+++ b/internal/proxy/balancer/balancer_test.go
@@ -165,3 +165,34 @@
 		So(b.Pick(need(1, 600*ms), later).Zone, ShouldEqual, "x")
 	})
 }
+
+func TestRefusedCallsGoOnlyWhereThereMayBeRoom(t *testing.T) {
+	refuse := func(b *Balancer, zone string, class queuer.Class) {
+		c := b.members[zone]
+		c.outstanding++
+		b.Done(c, Outcome{Kind: "k", Class: class, Full: true}, now)
+	}
+	Convey("Both upstreams refused a call of rank 2 just now", t, func() {
+		b := two(50*ms, 50*ms)
+		for _, zone := range []string{"x", "y"} {
+			refuse(b, zone, queuer.ClassOf(2, false))
+		}
+		again := need(2, 300*ms)
+		again.SkipFull = true
+		So(pick(b, again), ShouldEqual, "")
+		Convey("The first try goes somewhere all the same", func() {
+			So(pick(b, need(2, 300*ms)), ShouldEqual, "x")
+		})
+		Convey("Less urgent calls find no room either, more urgent ones may", func() {
+			less, more, nested := need(3, 300*ms), need(1, 300*ms), need(2, 300*ms)
+			nested.Class = queuer.Nested
+			less.SkipFull, more.SkipFull, nested.SkipFull = true, true, true
+			So(pick(b, less), ShouldEqual, "")
+			So(pick(b, more), ShouldEqual, "x")
+			So(pick(b, nested), ShouldEqual, "x")
+		})
+		Convey("A refusal is believed for a moment only", func() {
+			So(b.Pick(again, now.Add(fullMemory)), ShouldNotBeNil)
+		})
+	})
+}
--- a/internal/proxy/dispatcher/placement.go
+++ b/internal/proxy/dispatcher/placement.go
@@ -38,6 +38,8 @@
 	arrivals int
 	// open counts the hand-overs without a result.
 	open int
+	// full says that a node had no room for the call.
+	full bool
 }
 
 // handOver is one hand-over of a call to a node.
@@ -127,11 +129,14 @@
 func (p *placement) need() balancer.Need {
 	return balancer.Need{
 		Service: p.match.Service, Kind: p.match.Name, Rank: p.match.Rank,
-		Class:     queuer.ClassOf(p.match.Rank, p.event.Nested),
+		Class:     p.class(),
 		Objective: p.objective - time.Since(p.received), Remaining: p.left(), Tried: p.tried,
+		SkipFull: p.full,
 	}
 }
 
+func (p *placement) class() queuer.Class { return queuer.ClassOf(p.match.Rank, p.event.Nested) }
+
 // next chooses the node for the next hand-over, within the budget of repeats.
 func (p *placement) next() (handOver, bool) {
 	p.mu.Lock()
@@ -178,6 +183,7 @@
 func (p *placement) learn(h handOver, reply forwarder.RunReply) carrier.Result {
 	r := reply.Result
 	outcome := outcomeOf(reply, p.match.Name)
+	outcome.Class = p.class()
 	outcome.Waited = reply.Service
 	if r.Outcome == carrier.Unknown {
 		outcome.Waited = time.Since(h.began)
@@ -188,6 +194,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.open--
+	p.full = p.full || outcome.Full
 	if r.Arrived {
 		p.arrivals++
 	}
