forwarder: calls do not wait for a node that gives no answer

A zone was cut, and with it the only upstream of the orders; two others had left. Each order from outside spent 3 times 200 ms on attempts to connect to the same three nodes, then was refused, and came back too late to be asked again: 376 refusals after 600 ms, 300 callers gone while they waited, within 5 s.

Ruled out: the order of candidates (none of the three could be reached).

Change: a node to which an attempt to connect got no answer is tried beside the calls; they are refused at once, with the time to come back, or go to the next node. An attempt that is refused by the other VM still is waited for, it takes no time.

--- a/internal/proxy/assembler/fault_test.go
+++ b/internal/proxy/assembler/fault_test.go
@@ -384,3 +384,32 @@
 		m.Network.Cut(nil)
 	})
 }
+
+func TestCallsToAServiceThatIsCutOffAreRefusedAtOnce(t *testing.T) {
+	inMesh(t, []string{"x", "y", "z"}, func(m *mesh.Mesh) {
+		near := of(m, "a")[0]
+		away := map[string]bool{}
+		for _, n := range of(m, "b") {
+			away[n.Name] = true
+		}
+		m.Network.Cut(func(from, to string) bool {
+			return (from == near.Name && away[to]) || (away[from] && to == near.Name)
+		})
+		for i := range 4 {
+			near.Call(http.MethodPost, host, order, fmt.Sprintf("finds-%d", i), time.Second)
+		}
+		for i := range 20 {
+			began := time.Now()
+			a := near.Call(http.MethodPost, host, order, fmt.Sprintf("cut-%d", i), time.Second)
+			So(a.Status, ShouldEqual, http.StatusServiceUnavailable)
+			So(a.Header.Get("Retry-After"), ShouldNotBeEmpty)
+			So(time.Since(began), ShouldBeLessThan, 50*time.Millisecond)
+			time.Sleep(100 * time.Millisecond)
+		}
+		m.Network.Cut(nil)
+		time.Sleep(time.Second)
+		near.Call(http.MethodPost, host, order, "asks", time.Second)
+		time.Sleep(time.Second)
+		So(near.Call(http.MethodPost, host, order, "back", time.Second).Status, ShouldEqual, http.StatusOK)
+	})
+}
--- a/internal/proxy/forwarder/peer.go
+++ b/internal/proxy/forwarder/peer.go
@@ -85,7 +85,10 @@
 	link *link
 	// dialing is closed when the attempt that is under way has ended.
 	dialing chan struct{}
-	err     error
+	// hung says that attempts get no answer. Calls do not wait for such a node; they
+	// have it tried again beside them.
+	hung bool
+	err  error
 }
 
 // connect returns the open link or opens one. Concurrent calls share one attempt.
@@ -99,13 +102,17 @@
 		p.dialing = make(chan struct{})
 		go p.dial(p.dialing)
 	}
-	wait := p.dialing
+	wait, hung := p.dialing, p.hung
 	p.mu.Unlock()
+	if hung {
+		return nil, errNoConnection
+	}
 	timer := time.NewTimer(connectWait)
 	defer timer.Stop()
 	select {
 	case <-wait:
 	case <-timer.C:
+		p.setHung(wait)
 		return nil, errNoConnection
 	case <-ctx.Done():
 		return nil, ctx.Err()
@@ -118,6 +125,15 @@
 	return p.link, nil
 }
 
+// setHung notes that an attempt which still is under way gets no answer.
+func (p *peer) setHung(attempt chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.dialing == attempt {
+		p.hung = true
+	}
+}
+
 func (p *peer) dial(done chan struct{}) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
@@ -126,6 +142,7 @@
 	defer p.mu.Unlock()
 	defer close(done)
 	p.dialing, p.err = nil, err
+	p.hung = ctx.Err() != nil
 	if err != nil {
 		return
 	}
