reporter: news of members is bounded and summed, sums are told at the end

Lines about calls were bounded, these were not; sums were told only when a further line came.

Test: 710 members at once.

--- a/internal/observe/reporter/reporter.go
+++ b/internal/observe/reporter/reporter.go
@@ -21,8 +21,18 @@
 	"github.com/tamarackscale/tamarackscale/internal/proxy/tracker"
 )
 
-// callLinesPerSecond bounds the lines about single calls.
-const callLinesPerSecond = 60
+// callLinesPerSecond and memberLinesPerSecond bound the lines about single calls and
+// about single members.
+const (
+	callLinesPerSecond   = 60
+	memberLinesPerSecond = 20
+)
+
+// callsSummed and membersSummed are the events that stand for those without a line.
+const (
+	callsSummed   = "callsSummed"
+	membersSummed = "membersSummed"
+)
 
 // Reporter implements the observers of the parts of a proxy.
 type Reporter struct {
@@ -39,10 +49,9 @@
 
 	hint atomic.Pointer[func(int64)]
 
-	mu         sync.Mutex
-	second     int64
-	lines      int
-	suppressed map[carrier.Reason]int
+	mu      sync.Mutex
+	calling *limiter
+	joining *limiter
 }
 
 // latencyBuckets are in seconds.
@@ -55,10 +64,11 @@
 	logger.SetOutput(writer)
 	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
 	r := &Reporter{
-		log:        logger.WithFields(logrus.Fields{"node": node, "zone": zone}),
-		writer:     writer,
-		registry:   prometheus.NewRegistry(),
-		suppressed: map[carrier.Reason]int{},
+		log:      logger.WithFields(logrus.Fields{"node": node, "zone": zone}),
+		writer:   writer,
+		registry: prometheus.NewRegistry(),
+		calling:  newLimiter(callLinesPerSecond),
+		joining:  newLimiter(memberLinesPerSecond),
 	}
 	r.calls = histogram("tamarackscale_call_seconds", "Whole time of a call.", "service", "rank", "outcome")
 	r.upstream = histogram("tamarackscale_upstream_seconds", "Time of a hand-over at the upstream.", "service")
@@ -106,7 +116,7 @@
 		r.attempts.WithLabelValues(e.Service, a.Outcome.String(), string(a.Reason)).Inc()
 	}
 	plain := e.Result.Outcome == carrier.Run && e.Status < http.StatusInternalServerError && len(e.Attempts) == 1
-	if plain || !r.admit(e.Result.Reason) {
+	if plain || !r.admit(r.calling, callsSummed, string(e.Result.Reason)) {
 		return
 	}
 	r.log.WithFields(logrus.Fields{
@@ -146,28 +156,27 @@
 	return handOvers
 }
 
-// admit says whether another line about a call may be written in this second.
-func (r *Reporter) admit(reason carrier.Reason) bool {
-	now := time.Now().Unix()
+// admit says whether another line of a kind may be written in this second, and tells
+// the sums of those that were not, as the given event.
+func (r *Reporter) admit(l *limiter, event, reason string) bool {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	if now != r.second {
-		r.second, r.lines = now, 0
-		r.tellSuppressed()
+	admitted, sums := l.admit(reason, time.Now())
+	r.mu.Unlock()
+	r.tellSums(event, sums)
+	if sums != nil {
+		r.tellDropped()
 	}
-	r.lines++
-	if r.lines <= callLinesPerSecond {
-		return true
-	}
-	r.suppressed[reason]++
-	return false
+	return admitted
 }
 
-func (r *Reporter) tellSuppressed() {
-	for reason, count := range r.suppressed {
-		r.log.WithFields(logrus.Fields{"event": "callsSummed", "reason": string(reason), "count": count}).Info("calls without a line")
+// tellSums says how many events of a kind have no line of their own, by reason.
+func (r *Reporter) tellSums(event string, sums map[string]int) {
+	for reason, count := range sums {
+		r.log.WithFields(logrus.Fields{"event": event, "reason": reason, "count": count}).Info("events without a line")
 	}
-	clear(r.suppressed)
+}
+
+func (r *Reporter) tellDropped() {
 	if dropped := r.writer.Dropped(); dropped > 0 {
 		r.log.WithFields(logrus.Fields{"event": "linesDropped", "count": dropped}).Warn("log lines were dropped")
 	}
@@ -189,7 +198,15 @@
 }
 
 // Close writes what is pending; later lines are dropped.
-func (r *Reporter) Close() { r.writer.Close() }
+func (r *Reporter) Close() {
+	r.mu.Lock()
+	calls, members := r.calling.suppressed, r.joining.suppressed
+	r.calling.suppressed, r.joining.suppressed = map[string]int{}, map[string]int{}
+	r.mu.Unlock()
+	r.tellSums(callsSummed, calls)
+	r.tellSums(membersSummed, members)
+	r.writer.Close()
+}
 
 // Reloaded says that the settings were read again.
 func (r *Reporter) Reloaded(err error) {
@@ -244,6 +261,9 @@
 
 // MemberFound implements finder.Observer.
 func (r *Reporter) MemberFound(m balancer.Member, source string) {
+	if !r.admit(r.joining, membersSummed, source) {
+		return
+	}
 	r.log.WithFields(logrus.Fields{
 		"event": "memberFound", "member": m.Node, "instance": m.Instance, "service": m.Service,
 		"leaving": m.Leaving, "sequence": m.Sequence, "source": source,
--- a/internal/observe/reporter/reporter_test.go
+++ b/internal/observe/reporter/reporter_test.go
@@ -105,3 +105,19 @@
 		})
 	})
 }
+
+func TestNewsOfManyMembersIsBoundedAndSummed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var output bytes.Buffer
+		r := New("n-1", "z", &output)
+		const members = 710
+		for i := range members {
+			r.MemberFound(balancer.Member{Node: fmt.Sprint(i)}, "peer")
+		}
+		r.Close()
+		Convey("A fleet that starts at once costs few lines, and the sum tells of all", t, func() {
+			So(strings.Count(output.String(), "memberFound"), ShouldEqual, memberLinesPerSecond)
+			So(output.String(), ShouldContainSubstring, fmt.Sprintf(`"count":%d,"event":"membersSummed"`, members-memberLinesPerSecond))
+		})
+	})
+}
