subscriber: after a restart of all the first node of a zone reads for the others

Cause: after kill_all the relays' starts are not known yet; questions bound to the former process were answered with nothing, and each node read the whole configuration itself.

Change: a node without a version asks any process at its relay's address; it counts the relay as one only if the known process answered.

--- a/internal/proxy/assembler/configuration_test.go
+++ b/internal/proxy/assembler/configuration_test.go
@@ -182,15 +182,18 @@
 }
 
 func TestRestartOfAllServesSoon(t *testing.T) {
-	inMesh(t, []string{"x", "y"}, func(m *mesh.Mesh) {
+	inMesh(t, []string{"x", "x", "y", "y"}, func(m *mesh.Mesh) {
 		for _, n := range m.Nodes {
 			n.Kill()
 		}
 		time.Sleep(time.Second)
+		before := m.Store.Counts()
 		for _, n := range m.Nodes {
 			So(n.Start(), ShouldBeNil)
 		}
 		time.Sleep(2 * time.Second)
+		// The first node of each zone reads the configuration for the others.
+		So(m.Store.Counts()["read"]-before["read"], ShouldEqual, 2)
 		for _, n := range m.Nodes {
 			So(n.Ready(), ShouldBeTrue)
 		}
--- a/internal/proxy/forwarder/messages.go
+++ b/internal/proxy/forwarder/messages.go
@@ -50,7 +50,7 @@
 type ConfigurationArgs struct {
 	// Start is the process that is meant; zero is any. Another one at the address
 	// answers nothing: nodes that ask each other by mistake would both believe to
-	// hear of changes.
+	// hear of changes. A node without a version asks any process.
 	Start int64
 	Have  int64
 	// Wait is how long the answer may take if there is none yet.
@@ -60,6 +60,8 @@
 // ConfigurationReply holds a newer configuration; its version is 0 if there is none.
 type ConfigurationReply struct {
 	encoder.Message
+	// Start is the process that answers.
+	Start int64
 	// Revision is the store's revision up to which the answering node knows that
 	// there is no newer version.
 	Revision int64
--- a/internal/proxy/forwarder/messages_gen.go
+++ b/internal/proxy/forwarder/messages_gen.go
@@ -116,8 +116,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	err = z.Message.DecodeMsg(dc)
@@ -125,6 +125,11 @@
 		err = msgp.WrapError(err, "Message")
 		return
 	}
+	z.Start, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "Start")
+		return
+	}
 	z.Revision, err = dc.ReadInt64()
 	if err != nil {
 		err = msgp.WrapError(err, "Revision")
@@ -140,8 +145,8 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *ConfigurationReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 3
-	err = en.Append(0x93)
+	// array header, size 4
+	err = en.Append(0x94)
 	if err != nil {
 		return
 	}
@@ -150,6 +155,11 @@
 		err = msgp.WrapError(err, "Message")
 		return
 	}
+	err = en.WriteInt64(z.Start)
+	if err != nil {
+		err = msgp.WrapError(err, "Start")
+		return
+	}
 	err = en.WriteInt64(z.Revision)
 	if err != nil {
 		err = msgp.WrapError(err, "Revision")
@@ -165,7 +175,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ConfigurationReply) Msgsize() (s int) {
-	s = 1 + z.Message.Msgsize() + msgp.Int64Size + msgp.BoolSize
+	s = 1 + z.Message.Msgsize() + msgp.Int64Size + msgp.Int64Size + msgp.BoolSize
 	return
 }
 
--- a/internal/proxy/forwarder/receiver.go
+++ b/internal/proxy/forwarder/receiver.go
@@ -157,5 +157,6 @@
 	ctx, cancel := context.WithTimeout(context.Background(), args.Wait)
 	defer cancel()
 	*reply = m.r.neighbour.NextConfiguration(ctx, args.Have)
+	reply.Start = m.r.start
 	return nil
 }
--- a/internal/proxy/subscriber/subscriber.go
+++ b/internal/proxy/subscriber/subscriber.go
@@ -315,8 +315,8 @@
 			}
 			continue
 		}
-		reply, err := s.ask(ctx, relay, relayWait)
-		s.setRelayed(index, err == nil && reply.Following)
+		reply, err := s.askRelay(ctx, relay)
+		s.setRelayed(index, err == nil && reply.Following && reply.Start == relay.Start)
 		s.asked[index].Store(true)
 		if err == nil {
 			s.take(ctx, relay, reply, "relay")
@@ -327,6 +327,16 @@
 	}
 }
 
+// askRelay asks the relay for changes. A node without a version takes one from any
+// process at the relay's address: after a restart of all, the others' starts are not
+// known yet, and a whole configuration for each node would fill the links.
+func (s *Subscriber) askRelay(ctx context.Context, relay Relay) (forwarder.ConfigurationReply, error) {
+	if s.Version() == 0 {
+		relay.Start = 0
+	}
+	return s.ask(ctx, relay, relayWait)
+}
+
 // followStore takes in what the store has and watches it until a call fails.
 func (s *Subscriber) followStore(ctx context.Context) error {
 	if err := s.catchUp(ctx); err != nil {
