--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -24,6 +24,7 @@
 	"github.com/tamarackscale/tamarackscale/internal/proxy/subscriber"
 	"github.com/tamarackscale/tamarackscale/internal/settings/reader"
 	"github.com/tamarackscale/tamarackscale/platform"
+	"github.com/tamarackscale/tamarackscale/platform/connector"
 )
 
 // storeTimeout bounds one call to the store.
@@ -121,7 +122,7 @@
 		},
 		DisableCompression: true, MaxIdleConnsPerHost: 2,
 	}
-	store := platform.NewStore(platform.StoreConfig{
+	store := connector.New(connector.Config{
 		Address: s.Platform.Address, Timeout: storeTimeout, Observe: p.report.StoreCall,
 	}, p.transport)
 	p.finder = finder.New(finder.Config{
