tracker, assembler: a leaving outlives the process that acknowledged it

An upstream signed off while the node beside it stopped; 2.1 s later a heartbeat from before reached the next process, which knew of no leaving and sent calls, 2.39 s after the acknowledgement.

Ruled out: the gate of the queue (it held at the process that acknowledged); the sequence of reports (a sign-off has none).

Change: a leaving is told to three near nodes before it is acknowledged; a process asks them before it uses the first upstream that reports to it; a sign-off of a start that never reported is remembered.

If the node and its three witnesses die together, the leaving is lost.

--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -69,12 +69,13 @@
 	found     atomic.Bool
 	known     chan struct{}
 	knownOnce sync.Once
+	leavings  *leavings
 }
 
 // New builds a proxy that does not run yet.
 func New(config Config) (*Proxy, error) {
 	s := config.Settings
-	p := &Proxy{bounds: s.Bounds, network: config.Network, start: time.Now().UnixNano(), known: make(chan struct{})}
+	p := &Proxy{bounds: s.Bounds, network: config.Network, start: time.Now().UnixNano(), known: make(chan struct{}), leavings: newLeavings()}
 	if p.network == nil {
 		p.network = dialer.TCP{KeepAlive: keepAlive}
 	}
--- a/internal/proxy/assembler/directory.go
+++ b/internal/proxy/assembler/directory.go
@@ -22,7 +22,10 @@
 		Zone: s.Node.AvailabilityZone, LinkRate: s.Node.LinkRate, Stopping: p.leaving.Load(), Leaving: p.leaving.Load() || u.State == tracker.Leaving,
 	}
 	if u.State != tracker.Absent {
-		m.Service, m.Instance, m.Slots = u.Service, u.Instance, u.Slots
+		m.Service, m.Instance, m.Born, m.Slots = u.Service, u.Instance, u.Born, u.Slots
+	}
+	if u.State == tracker.Leaving {
+		m.LeftAt = u.LeavingSince.UnixMilli()
 	}
 	if u.State != tracker.Absent && u.ColdLeft > 0 {
 		m.ColdUntil = u.ColdUntil.UnixMilli()
@@ -34,6 +37,9 @@
 func (p *Proxy) Learn(m balancer.Member) bool {
 	news := false
 	p.dispatcher.Members(func(b *balancer.Balancer) { news = b.Update(m) })
+	if m.LeftAt != 0 {
+		p.leavings.note(tracker.Start{Instance: m.Instance, Born: m.Born}, m.LeftAt)
+	}
 	return news
 }
 
@@ -143,9 +149,15 @@
 			return errors.Newf("report of instance %q: service %q is unknown in version %d", r.Instance, r.Service, t.Version)
 		}
 	}
+	if p.executor.Upstream().State == tracker.Absent {
+		p.recallLeaving(tracker.Start{Instance: r.Instance, Born: r.Born})
+	}
 	verdict := p.executor.Report(r, time.Now())
 	p.report.Upstream(p.executor.Upstream(), verdict)
 	p.knownOnce.Do(func() { close(p.known) })
+	if verdict == tracker.Changed && r.Leaving {
+		p.entrustLeaving()
+	}
 	return nil
 }
 
@@ -153,6 +165,9 @@
 func (p *Proxy) SignOff(instance string, born int64) error {
 	verdict := p.executor.SignOff(instance, born, time.Now())
 	p.report.Upstream(p.executor.Upstream(), verdict)
+	if verdict == tracker.Changed {
+		p.entrustLeaving()
+	}
 	return nil
 }
 
--- a/internal/proxy/assembler/fault_test.go
+++ b/internal/proxy/assembler/fault_test.go
@@ -413,3 +413,24 @@
 		So(near.Call(http.MethodPost, host, order, "back", time.Second).Status, ShouldEqual, http.StatusOK)
 	})
 }
+
+func TestLeavingOutlivesTheProcessThatAcknowledgedIt(t *testing.T) {
+	inMesh(t, []string{"x", "y"}, func(m *mesh.Mesh) {
+		leaving := of(m, "a")[0]
+		u := leaving.Upstream
+		So(u.SignOff(context.Background()), ShouldEqual, http.StatusOK)
+		leaving.Kill()
+		time.Sleep(time.Second)
+		So(leaving.Start(), ShouldBeNil)
+		time.Sleep(1500 * time.Millisecond)
+		// A report from before the sign-off arrives late, at the next process.
+		So(u.Beat(context.Background()), ShouldEqual, http.StatusOK)
+		before := u.Total()
+		for i := range 20 {
+			n := m.Nodes[i%len(m.Nodes)]
+			So(n.Call(http.MethodGet, host, read, fmt.Sprintf("o-%d", i), time.Second).Status, ShouldEqual, http.StatusOK)
+			time.Sleep(20 * time.Millisecond)
+		}
+		So(u.Total(), ShouldEqual, before)
+	})
+}
--- a/internal/proxy/balancer/member.go
+++ b/internal/proxy/balancer/member.go
@@ -26,7 +26,12 @@
 	// Service is empty while the node knows no upstream.
 	Service  string
 	Instance string
-	Slots    int
+	// Born is when the instance started, in Unix milliseconds; 0 if unsaid.
+	Born  int64
+	Slots int
+	// LeftAt is when the instance's leaving was acknowledged, in Unix milliseconds; 0
+	// if it does not leave.
+	LeftAt int64
 	// Leaving says that the upstream or the node stops soon, Stopping that the
 	// node does.
 	Leaving  bool
--- a/internal/proxy/balancer/member_gen.go
+++ b/internal/proxy/balancer/member_gen.go
@@ -115,8 +115,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 12 {
-		err = msgp.ArrayError{Wanted: 12, Got: zb0001}
+	if zb0001 != 14 {
+		err = msgp.ArrayError{Wanted: 14, Got: zb0001}
 		return
 	}
 	z.Node, err = dc.ReadString()
@@ -159,11 +159,21 @@
 		err = msgp.WrapError(err, "Instance")
 		return
 	}
+	z.Born, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "Born")
+		return
+	}
 	z.Slots, err = dc.ReadInt()
 	if err != nil {
 		err = msgp.WrapError(err, "Slots")
 		return
 	}
+	z.LeftAt, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "LeftAt")
+		return
+	}
 	z.Leaving, err = dc.ReadBool()
 	if err != nil {
 		err = msgp.WrapError(err, "Leaving")
@@ -184,8 +194,8 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Member) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 12
-	err = en.Append(0x9c)
+	// array header, size 14
+	err = en.Append(0x9e)
 	if err != nil {
 		return
 	}
@@ -229,11 +239,21 @@
 		err = msgp.WrapError(err, "Instance")
 		return
 	}
+	err = en.WriteInt64(z.Born)
+	if err != nil {
+		err = msgp.WrapError(err, "Born")
+		return
+	}
 	err = en.WriteInt(z.Slots)
 	if err != nil {
 		err = msgp.WrapError(err, "Slots")
 		return
 	}
+	err = en.WriteInt64(z.LeftAt)
+	if err != nil {
+		err = msgp.WrapError(err, "LeftAt")
+		return
+	}
 	err = en.WriteBool(z.Leaving)
 	if err != nil {
 		err = msgp.WrapError(err, "Leaving")
@@ -254,6 +274,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Member) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Node) + msgp.Int64Size + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Address) + msgp.StringPrefixSize + len(z.Zone) + msgp.Float64Size + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.Instance) + msgp.IntSize + msgp.BoolSize + msgp.BoolSize + msgp.Int64Size
+	s = 1 + msgp.StringPrefixSize + len(z.Node) + msgp.Int64Size + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Address) + msgp.StringPrefixSize + len(z.Zone) + msgp.Float64Size + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.Instance) + msgp.Int64Size + msgp.IntSize + msgp.Int64Size + msgp.BoolSize + msgp.BoolSize + msgp.Int64Size
 	return
 }
--- a/internal/proxy/executor/executor.go
+++ b/internal/proxy/executor/executor.go
@@ -101,6 +101,20 @@
 	return verdict
 }
 
+// Left takes in that a start of an upstream has left at some time before.
+func (e *Executor) Left(s tracker.Start, since, now time.Time) {
+	e.mu.Lock()
+	before := e.tracker.Current()
+	verdict := e.tracker.Left(s, since, now)
+	if verdict == tracker.Changed {
+		e.follow(before, now)
+	}
+	e.mu.Unlock()
+	if verdict == tracker.Changed {
+		e.config.Changed()
+	}
+}
+
 // follow applies the newest state of the upstream to queue and connections.
 func (e *Executor) follow(before tracker.Upstream, now time.Time) {
 	current := e.tracker.Current()
--- a/internal/proxy/forwarder/forwarder.go
+++ b/internal/proxy/forwarder/forwarder.go
@@ -215,6 +215,13 @@
 	return members, err
 }
 
+// Left asks a node when a start of an upstream has left; 0 if it knows of no leaving.
+func (f *Forwarder) Left(ctx context.Context, address string, args LeftArgs) (int64, error) {
+	var reply LeftReply
+	err := f.Call(ctx, address, "Left", &args, &reply)
+	return reply.At, err
+}
+
 // Configuration asks a node for a newer configuration.
 func (f *Forwarder) Configuration(
 	ctx context.Context, address string, args ConfigurationArgs,
--- a/internal/proxy/forwarder/messages.go
+++ b/internal/proxy/forwarder/messages.go
@@ -15,7 +15,7 @@
 
 //go:generate go tool msgp -tests=false -marshal=false -o messages_gen.go
 
-//msgp:tuple RunArgs RunReply CancelArgs Empty ConfigurationArgs ConfigurationReply
+//msgp:tuple RunArgs RunReply CancelArgs Empty LeftArgs LeftReply ConfigurationArgs ConfigurationReply
 
 // RunArgs hands a call over to the node beside its upstream.
 type RunArgs struct {
@@ -40,6 +40,15 @@
 // CancelArgs ends a hand-over, or keeps it from beginning.
 type CancelArgs struct{ HandOver fencer.HandOver }
 
+// LeftArgs asks when a start of an upstream has left.
+type LeftArgs struct {
+	Instance string
+	Born     int64
+}
+
+// LeftReply holds the time in Unix milliseconds; 0 if the node knows of no leaving.
+type LeftReply struct{ At int64 }
+
 // Empty is an argument or a reply that says nothing.
 type Empty struct{}
 
--- a/internal/proxy/forwarder/messages_gen.go
+++ b/internal/proxy/forwarder/messages_gen.go
@@ -210,6 +210,98 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *LeftArgs) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Instance, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Instance")
+		return
+	}
+	z.Born, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "Born")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z LeftArgs) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Instance)
+	if err != nil {
+		err = msgp.WrapError(err, "Instance")
+		return
+	}
+	err = en.WriteInt64(z.Born)
+	if err != nil {
+		err = msgp.WrapError(err, "Born")
+		return
+	}
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z LeftArgs) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Instance) + msgp.Int64Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *LeftReply) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	z.At, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "At")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z LeftReply) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 1
+	err = en.Append(0x91)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.At)
+	if err != nil {
+		err = msgp.WrapError(err, "At")
+		return
+	}
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z LeftReply) Msgsize() (s int) {
+	s = 1 + msgp.Int64Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *MemberList) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0002 uint32
--- a/internal/proxy/forwarder/receiver.go
+++ b/internal/proxy/forwarder/receiver.go
@@ -19,6 +19,9 @@
 	Heard(m balancer.Member) balancer.Member
 	// Members returns the word of every member, its own included.
 	Members() []balancer.Member
+	// LeftAt is when a start of an upstream has left, in Unix milliseconds; 0 if the
+	// node knows of no leaving.
+	LeftAt(instance string, born int64) int64
 	// NextConfiguration returns a configuration newer than have, waiting for one.
 	NextConfiguration(ctx context.Context, have int64) ConfigurationReply
 	// Version is the configuration version in force.
@@ -149,6 +152,12 @@
 	return nil
 }
 
+// Left says when a start of an upstream has left, for a process that began after it.
+func (m *methods) Left(args *LeftArgs, reply *LeftReply) error {
+	reply.At = m.r.neighbour.LeftAt(args.Instance, args.Born)
+	return nil
+}
+
 // Configuration returns a configuration newer than the one that the asker has.
 func (m *methods) Configuration(args *ConfigurationArgs, reply *ConfigurationReply) error {
 	if args.Start != 0 && args.Start != m.r.start {
--- a/internal/proxy/forwarder/receiver_test.go
+++ b/internal/proxy/forwarder/receiver_test.go
@@ -18,6 +18,7 @@
 func (neighbour) Members() []balancer.Member              { return nil }
 func (neighbour) Version() int64                          { return 7 }
 func (neighbour) Load() balancer.Load                     { return balancer.Load{} }
+func (neighbour) LeftAt(string, int64) int64              { return 0 }
 
 func (neighbour) NextConfiguration(context.Context, int64) ConfigurationReply {
 	return ConfigurationReply{Message: encoder.Message{Version: 7}, Following: true}
--- a/internal/proxy/tracker/tracker.go
+++ b/internal/proxy/tracker/tracker.go
@@ -45,6 +45,13 @@
 	ColdUntil time.Time
 }
 
+// Start names one start of an upstream.
+type Start struct {
+	Instance string
+	// Born is 0 if it was not said.
+	Born int64
+}
+
 // Verdict says what a report changed.
 type Verdict uint8
 
@@ -61,10 +68,16 @@
 // Tracker holds one upstream. It is used under its owner's lock.
 type Tracker struct {
 	current Upstream
+	// left holds since when the upstreams that have left did so: a report from before
+	// may arrive after it, also at a process that began in between.
+	left map[Start]time.Time
 }
 
+// leftMemory is how long after its leaving a report of an upstream may still arrive.
+const leftMemory = 5 * time.Minute
+
 // New returns a tracker that knows no upstream.
-func New() *Tracker { return &Tracker{} }
+func New() *Tracker { return &Tracker{left: map[Start]time.Time{}} }
 
 // Current returns what is known now.
 func (t *Tracker) Current() Upstream { return t.current }
@@ -84,6 +97,9 @@
 	if sameStart && before.State == Leaving {
 		next.LeavingSince = before.LeavingSince
 	}
+	if since, left := t.left[Start{r.Instance, r.Born}]; left {
+		next.State, next.LeavingSince = Leaving, since
+	}
 	t.current = next
 	if sameStart && before.State == next.State && before.Slots == r.Slots && before.Service == r.Service {
 		return Refreshed
@@ -105,11 +121,28 @@
 
 // SignOff takes in that an instance ends. Born is 0 if the message did not say.
 func (t *Tracker) SignOff(instance string, born int64, now time.Time) Verdict {
+	if c := t.current; c.State != Absent && c.Instance == instance && born == 0 {
+		born = c.Born
+	}
+	return t.Left(Start{instance, born}, now, now)
+}
+
+// Left takes in that a start of an upstream has left at some time, which may be one
+// that never reported here.
+func (t *Tracker) Left(s Start, since, now time.Time) Verdict {
+	for other, at := range t.left {
+		if now.Sub(at) > leftMemory {
+			delete(t.left, other)
+		}
+	}
+	if _, known := t.left[s]; !known {
+		t.left[s] = since
+	}
 	c := &t.current
-	if c.State != Ready || c.Instance != instance || (born != 0 && born != c.Born) {
+	if c.State != Ready || c.Instance != s.Instance || c.Born != s.Born {
 		return Outdated
 	}
-	c.State, c.LeavingSince = Leaving, now
+	c.State, c.LeavingSince = Leaving, t.left[s]
 	return Changed
 }
 
--- a/internal/proxy/tracker/tracker_test.go
+++ b/internal/proxy/tracker/tracker_test.go
@@ -72,3 +72,27 @@
 		So(tr.Accept(report("next", 2, 1), now), ShouldEqual, Changed)
 	})
 }
+
+func TestLeavingThatWasSaidBeforeTheFirstReportHolds(t *testing.T) {
+	start := time.Unix(100, 0)
+	report := Report{Instance: "i", Born: 5, Sequence: 3, Service: "s", Slots: 4}
+	Convey("A process that began after its upstream had signed off", t, func() {
+		tr := New()
+		So(tr.Left(Start{"i", 5}, start, start.Add(time.Second)), ShouldEqual, Outdated)
+		So(tr.Accept(report, start.Add(2*time.Second)), ShouldEqual, Changed)
+		So(tr.Current().State, ShouldEqual, Leaving)
+		So(tr.Current().LeavingSince.Equal(start), ShouldBeTrue)
+		Convey("Another start of the instance is ready", func() {
+			next := report
+			next.Born, next.Sequence = 9, 1
+			So(tr.Accept(next, start.Add(3*time.Second)), ShouldEqual, Changed)
+			So(tr.Current().State, ShouldEqual, Ready)
+		})
+	})
+	Convey("A sign-off that comes before a late report holds too", t, func() {
+		tr := New()
+		So(tr.SignOff("i", 5, start), ShouldEqual, Outdated)
+		So(tr.Accept(report, start.Add(time.Second)), ShouldEqual, Changed)
+		So(tr.Current().State, ShouldEqual, Leaving)
+	})
+}
