--- a/internal/proxy/dispatcher/hedge.go
+++ b/internal/proxy/dispatcher/hedge.go
@@ -62,7 +62,10 @@
 // hedge sends the call to a second node whose upstream has room, and says
 // whether it did.
 func (p *placement) hedge(ctx context.Context) (carrier.Result, bool) {
-	if !p.mayArriveAgain() || !p.d.hasRoom(p.need()) {
+	p.mu.Lock()
+	need := p.need()
+	p.mu.Unlock()
+	if !p.mayArriveAgain() || !p.d.hasRoom(need) {
 		return carrier.Result{}, false
 	}
 	h, found := p.next()
--- a/internal/proxy/dispatcher/placement.go
+++ b/internal/proxy/dispatcher/placement.go
@@ -125,7 +125,7 @@
 	return status == http.StatusInternalServerError || status == http.StatusBadGateway
 }
 
-// need describes the call as it stands now.
+// need describes the call as it stands now. It is used under the lock.
 func (p *placement) need() balancer.Need {
 	return balancer.Need{
 		Service: p.match.Service, Kind: p.match.Name, Rank: p.match.Rank,
