standin: a proxy of the mesh gets settings of its own

Change: each start copies the settings. go test -race ./internal/proxy/assembler passes in three runs of three.

--- a/standin/mesh/mesh.go
+++ b/standin/mesh/mesh.go
@@ -47,9 +47,11 @@
 	mesh     *Mesh
 	index    int
 	settings *reader.Settings
-	proxy    *network.Host
-	machine  *network.Host
-	cancel   context.CancelFunc
+	// starts counts the proxy's processes.
+	starts  int
+	proxy   *network.Host
+	machine *network.Host
+	cancel  context.CancelFunc
 }
 
 // Buffer is a log that may be read while it is written.
@@ -110,8 +112,7 @@
 
 func (n *Node) newSettings(service string) *reader.Settings {
 	return &reader.Settings{
-		FirstStart: true,
-		Node:       reader.Node{ID: n.Name, IP: fmt.Sprintf("10.0.0.%d", n.index), AvailabilityZone: n.Zone},
+		Node: reader.Node{ID: n.Name, IP: fmt.Sprintf("10.0.0.%d", n.index), AvailabilityZone: n.Zone},
 		Listen: reader.Listen{
 			Callers: n.address(8001), Readiness: n.address(8002), Control: n.address(8003), Ports: []int{7000, 7015},
 		},
@@ -128,14 +129,14 @@
 func (n *Node) Start() error {
 	ctx, cancel := context.WithCancel(n.mesh.ctx)
 	n.cancel = cancel
-	p, err := assembler.New(assembler.Config{Settings: n.settings, Output: n.Log, Network: n.proxy})
+	settings := *n.settings
+	settings.FirstStart = n.starts == 0
+	n.starts++
+	p, err := assembler.New(assembler.Config{Settings: &settings, Output: n.Log, Network: n.proxy})
 	if err != nil {
 		return err
 	}
 	n.Proxy = p
-	next := *n.settings
-	next.FirstStart = false
-	n.settings = &next
 	return p.Start(ctx)
 }
 
