tracker: a sign-off that names no start means those that began before it

A process that had just started acknowledged the sign-off of an upstream that had not reported to it yet; 1.7 s later a report from before came. The sign-off names no start, the report does, so that they did not meet in the memory of leavings.

Change: such a sign-off stands for the starts before it.

--- a/internal/proxy/tracker/tracker.go
+++ b/internal/proxy/tracker/tracker.go
@@ -94,7 +94,7 @@
 	if r.Leaving {
 		t.note(Start{r.Instance, r.Born}, now, now)
 	}
-	if since, left := t.left[Start{r.Instance, r.Born}]; left {
+	if since, left := t.leftSince(Start{r.Instance, r.Born}); left {
 		next.State, next.LeavingSince = Leaving, since
 	}
 	t.current = next
@@ -149,6 +149,16 @@
 	}
 }
 
+// leftSince returns since when a start leaves. A sign-off that did not say which start
+// it means stands for those that began before it.
+func (t *Tracker) leftSince(s Start) (time.Time, bool) {
+	if since, left := t.left[s]; left {
+		return since, true
+	}
+	since, left := t.left[Start{Instance: s.Instance}]
+	return since, left && s.Born <= since.UnixMilli()
+}
+
 // Lost takes in that another instance answers at the address.
 func (t *Tracker) Lost(instance string) {
 	if t.current.Instance == instance {
--- a/internal/proxy/tracker/tracker_test.go
+++ b/internal/proxy/tracker/tracker_test.go
@@ -89,6 +89,17 @@
 			So(tr.Current().State, ShouldEqual, Ready)
 		})
 	})
+	Convey("A sign-off that names no start means those that began before it", t, func() {
+		tr := New()
+		So(tr.SignOff("i", 0, start), ShouldEqual, Outdated)
+		So(tr.Accept(report, start.Add(time.Second)), ShouldEqual, Changed)
+		So(tr.Current().State, ShouldEqual, Leaving)
+		So(tr.Current().LeavingSince.Equal(start), ShouldBeTrue)
+		next := report
+		next.Born, next.Sequence = start.UnixMilli()+1, 1
+		So(tr.Accept(next, start.Add(2*time.Second)), ShouldEqual, Changed)
+		So(tr.Current().State, ShouldEqual, Ready)
+	})
 	Convey("A sign-off that comes before a late report holds too", t, func() {
 		tr := New()
 		So(tr.SignOff("i", 5, start), ShouldEqual, Outdated)
