--- a/internal/settings/reader/reader_test.go
+++ b/internal/settings/reader/reader_test.go
@@ -50,3 +50,24 @@
 		So(err, ShouldNotBeNil)
 	})
 }
+
+func TestWhatThePlatformMayLeaveOut(t *testing.T) {
+	with := func(link, first string) string {
+		return strings.Replace(good, `availabilityZone: "z"}`, `availabilityZone: "z", linkRate: `+link+"}\nfirstStart: "+first, 1)
+	}
+	Convey("Values that are given, and empty ones, which a template leaves for what is missing", t, func() {
+		s, err := Parse("f", []byte(with("7.5", "true")))
+		So(err, ShouldBeNil)
+		So(s.Node.LinkRate, ShouldEqual, 7.5)
+		So(s.FirstStart, ShouldBeTrue)
+		s, err = Parse("f", []byte(with("", "")))
+		So(err, ShouldBeNil)
+		So(s.Node.LinkRate, ShouldEqual, 0)
+		So(s.FirstStart, ShouldBeFalse)
+	})
+	Convey("A rate below zero is a finding", t, func() {
+		_, err := Parse("f", []byte(with("-1", "false")))
+		So(err, ShouldNotBeNil)
+		So(err.Error(), ShouldContainSubstring, "node.linkRate")
+	})
+}
