subscriber: a node whose relays do not answer asks the store at once

Ruled out: a deaf watch (it ended with an error), the relays' own lag (they were cut off).

Change: the store is left to the relays only while one of them answers, that it hears of no changes. Test: TestNodeThatReachesOnlyTheStoreAsksItAtOnce; its mutant fails it.

--- a/internal/proxy/assembler/configuration_test.go
+++ b/internal/proxy/assembler/configuration_test.go
@@ -218,3 +218,23 @@
 		So(after["watch"]-before["watch"], ShouldBeLessThan, 2*len(m.Nodes))
 	})
 }
+
+func TestNodeThatReachesOnlyTheStoreAsksItAtOnce(t *testing.T) {
+	inMesh(t, []string{"x", "x", "x", "x", "x", "x", "x", "x"}, func(m *mesh.Mesh) {
+		last := m.Nodes[8]
+		// Only the store is left to it.
+		m.Network.Cut(func(from, to string) bool {
+			return (from == last.Name || to == last.Name) && from != to && from != "store" && to != "store"
+		})
+		time.Sleep(8 * time.Second)
+		// Its watches end without an answer, as at a link that is cut for a moment.
+		for round := range 8 {
+			m.Store.SetFaults(metastore.Faults{Busy: true})
+			time.Sleep(2500*time.Millisecond + time.Duration(round)*300*time.Millisecond)
+			m.Store.SetFaults(metastore.Faults{})
+			configure(m, 8+round, idempotent(read, "a"), nonIdempotent(order, "b"))
+			time.Sleep(inForce)
+			So(last.Proxy.Version(), ShouldEqual, 8+round)
+		}
+	})
+}
--- a/internal/proxy/subscriber/relays.go
+++ b/internal/proxy/subscriber/relays.go
@@ -16,9 +16,9 @@
 }
 
 // takeover is how long a node gives the relays before it asks the store itself:
-// nothing for a relay, or for a node that has no version yet.
+// nothing for a relay, for a node that has no version yet, or where none answers.
 func (s *Subscriber) takeover() time.Duration {
-	if s.Version() == 0 || s.following.Load() {
+	if s.Version() == 0 || s.following.Load() || !s.relayAnswers() {
 		return 0
 	}
 	for position, r := range s.config.Relays() {
@@ -33,6 +33,16 @@
 	return takeoverPause
 }
 
+// relayAnswers says whether any relay answers, be it that it hears of no changes.
+func (s *Subscriber) relayAnswers() bool {
+	for i := range relayCount {
+		if s.answers[i].Load() {
+			return true
+		}
+	}
+	return false
+}
+
 // awaitRelays returns once a relay passes changes on, or its time to begin is up.
 func (s *Subscriber) awaitRelays(ctx context.Context) {
 	began := time.Now()
@@ -108,6 +118,7 @@
 		relay, found := s.relay(index)
 		if !found {
 			s.setRelayed(index, false)
+			s.answers[index].Store(false)
 			s.asked[index].Store(true)
 			if !pauser.Pause(ctx, rolePause) {
 				return
@@ -115,6 +126,7 @@
 			continue
 		}
 		reply, err := s.askRelay(ctx, relay)
+		s.answers[index].Store(err == nil)
 		s.setRelayed(index, err == nil && reply.Following && reply.Start == relay.Start)
 		s.asked[index].Store(true)
 		if err == nil {
--- a/internal/proxy/subscriber/subscriber.go
+++ b/internal/proxy/subscriber/subscriber.go
@@ -97,6 +97,8 @@
 	relayed [relayCount]atomic.Bool
 	// asked says for each relay that it was asked, or that there was none to ask.
 	asked [relayCount]atomic.Bool
+	// answers says for each relay that it answered the last question.
+	answers [relayCount]atomic.Bool
 	// hinted receives when another node has a newer version.
 	hinted chan struct{}
 
