subscriber, platform: a word of a later release no longer stops service

Behind it: one unknown word took the fleet out, and a relay that rejected a version still counted as receiving changes, so nodes of a later release behind it would never have got it.

A node that rejects the store's newest version is no longer counted as subscribed, confirms no revision, reads the value again at its next watch, and, without a version, takes the earlier one from its peers.

--- a/internal/observe/reporter/reporter.go
+++ b/internal/observe/reporter/reporter.go
@@ -19,6 +19,7 @@
 	"github.com/tamarackscale/tamarackscale/internal/proxy/balancer"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/dispatcher"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/router"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/tracker"
 )
 
@@ -48,6 +49,8 @@
 	attempts     *prometheus.CounterVec
 	storeCalls   *prometheus.CounterVec
 	version      prometheus.Gauge
+	unknownKinds prometheus.Gauge
+	rejected     prometheus.Gauge
 
 	onVersion atomic.Pointer[func(int64)]
 
@@ -80,13 +83,19 @@
 	r.endedCalls = counter("tamarackscale_calls_total", "Calls by how they ended.", "service", "status", "reason")
 	r.attempts = counter("tamarackscale_hand_overs_total", "Hand-overs by how they ended.", "service", "outcome", "reason")
 	r.storeCalls = counter("tamarackscale_store_calls_total", "Calls to the platform's store.", "operation", "result")
-	r.version = prometheus.NewGauge(prometheus.GaugeOpts{
-		Name: "tamarackscale_configuration_version", Help: "Configuration version in force.",
-	})
-	r.registry.MustRegister(r.callTime, r.upstreamTime, r.queueTime, r.endedCalls, r.attempts, r.storeCalls, r.version)
+	r.version = gauge("tamarackscale_configuration_version", "Configuration version in force.")
+	r.unknownKinds = gauge("tamarackscale_configuration_unknown_kinds", "Routes in force of a kind that this release does not know.")
+	r.rejected = gauge("tamarackscale_configuration_rejected", "1 if the store's newest configuration can't be decoded, else 0.")
+	r.registry.MustRegister(
+		r.callTime, r.upstreamTime, r.queueTime, r.endedCalls, r.attempts, r.storeCalls, r.version, r.unknownKinds, r.rejected,
+	)
 	return r
 }
 
+func gauge(name, help string) prometheus.Gauge {
+	return prometheus.NewGauge(prometheus.GaugeOpts{Name: name, Help: help})
+}
+
 func histogram(name, help string, labels ...string) *prometheus.HistogramVec {
 	return prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: name, Help: help, Buckets: latencyBuckets}, labels)
 }
@@ -229,12 +238,29 @@
 }
 
 // InForce implements subscriber.Observer. It logs the configuration version that came
-// into force and sets its metric.
-func (r *Reporter) InForce(version int64, source string, routes int) {
-	r.version.Set(float64(version))
+// into force and sets its metrics.
+func (r *Reporter) InForce(c router.Configuration, source string) {
+	r.version.Set(float64(c.Version))
+	r.unknownKinds.Set(float64(len(c.UnknownKinds)))
 	r.log.WithFields(logrus.Fields{
-		"event": "inForce", "version": version, "source": source, "routes": routes,
+		"event": "inForce", "version": c.Version, "source": source, "routes": len(c.Routes),
 	}).Info("configuration in force")
+	if len(c.UnknownKinds) == 0 {
+		return
+	}
+	first := c.UnknownKinds[0]
+	r.log.WithFields(logrus.Fields{
+		"event": "unknownKinds", "version": c.Version, "count": len(c.UnknownKinds), "route": first.Route, "kind": first.Kind,
+	}).Warn("routes have a kind that this release does not know; their calls are never repeated")
+}
+
+// Rejected implements subscriber.Observer.
+func (r *Reporter) Rejected(rejected bool) {
+	value := 0.0
+	if rejected {
+		value = 1
+	}
+	r.rejected.Set(value)
 }
 
 // Unusable implements subscriber.Observer. It logs a configuration that could not be
--- a/internal/proxy/router/router.go
+++ b/internal/proxy/router/router.go
@@ -18,6 +18,15 @@
 	Routes  []Route
 	// Services lists every service that a route may refer to.
 	Services []Service
+	// UnknownKinds lists the routes of a kind that this release does not know. They are not
+	// Idempotent, since a call of an unknown kind must not be repeated.
+	UnknownKinds []UnknownKind
+}
+
+// UnknownKind names a route and its kind, which a later release may know.
+type UnknownKind struct {
+	Route string
+	Kind  string
 }
 
 // Limits bounds what a caller may send on one connection.
--- a/internal/proxy/subscriber/exchange.go
+++ b/internal/proxy/subscriber/exchange.go
@@ -83,7 +83,20 @@
 
 // unchangedReply returns a reply that states that there is no newer version.
 func (s *Subscriber) unchangedReply() forwarder.ConfigurationReply {
-	return forwarder.ConfigurationReply{Subscribed: s.subscribed(), Revision: int64(s.knownRevision())}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return forwarder.ConfigurationReply{
+		Subscribed: s.subscribedLocked(), Revision: int64(s.confirmedRevisionLocked()),
+	}
+}
+
+// confirmedRevisionLocked returns the revision up to which the version in force is the
+// newest; 0 if a newer one was rejected. The caller holds s.mu.
+func (s *Subscriber) confirmedRevisionLocked() keeper.Revision {
+	if s.rejected {
+		return 0
+	}
+	return s.revision
 }
 
 // newerReply returns a reply with the version in force for a node that holds version
@@ -95,5 +108,7 @@
 	if err != nil {
 		s.config.Observe.Unusable("encoder", err)
 	}
-	return forwarder.ConfigurationReply{Message: message, Subscribed: s.subscribed(), Revision: int64(s.revision)}
+	return forwarder.ConfigurationReply{
+		Message: message, Subscribed: s.subscribedLocked(), Revision: int64(s.confirmedRevisionLocked()),
+	}
 }
--- a/internal/proxy/subscriber/relays.go
+++ b/internal/proxy/subscriber/relays.go
@@ -96,8 +96,19 @@
 	return true
 }
 
-// subscribed reports whether the node receives changes, from the store or from a relay.
-func (s *Subscriber) subscribed() bool { return s.watchingStore.Load() || !s.needsStore() }
+// subscribed reports whether the node receives changes, from the store or from a relay. A
+// node that can't decode the store's newest configuration does not: another release behind
+// it may know more, and must read the store itself.
+func (s *Subscriber) subscribed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.subscribedLocked()
+}
+
+// subscribedLocked is subscribed for a caller that holds s.mu.
+func (s *Subscriber) subscribedLocked() bool {
+	return s.watchingStore.Load() && !s.rejected || !s.needsStore()
+}
 
 // setRelaySubscribed sets whether the relay with the given index replies and receives
 // changes itself.
@@ -160,11 +171,14 @@
 }
 
 // pollPeers requests changes from other nodes while neither the store nor a relay
-// provides them. It stays with a node until that node has nothing to provide.
+// provides them, and while the node has no version because it can't decode the store's: the
+// others may have an earlier one. It stays with a node until that node has nothing to
+// provide.
 func (s *Subscriber) pollPeers(ctx context.Context) {
 	turn := 0
 	for pauser.Pause(ctx, peerPollInterval) {
-		if s.watchingStore.Load() || !s.needsStore() {
+		lacksVersion := s.Version() == 0 && s.hasRejected()
+		if !lacksVersion && (s.watchingStore.Load() || !s.needsStore()) {
 			continue
 		}
 		peers := s.config.Peers()
--- a/internal/proxy/subscriber/store.go
+++ b/internal/proxy/subscriber/store.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		return err
 	}
-	s.apply(item.Value, "store")
+	s.apply(item.Value, storeSource)
 	s.setKnownRevision(revision)
 	return nil
 }
@@ -66,7 +66,7 @@
 func (s *Subscriber) applyEvents(events keeper.Events) {
 	for i := len(events.List) - 1; i >= 0; i-- {
 		if event := events.List[i]; event.Key == s.config.Key && !event.Deleted {
-			s.apply(event.Value, "store")
+			s.apply(event.Value, storeSource)
 			break
 		}
 	}
--- a/internal/proxy/subscriber/subscriber.go
+++ b/internal/proxy/subscriber/subscriber.go
@@ -65,12 +65,18 @@
 	startupPollInterval = 50 * time.Millisecond
 )
 
+// storeSource is the source of the versions that the node reads from the store itself.
+const storeSource = "store"
+
 // Observer is notified of what a subscriber does. Its methods may be called while the
 // subscriber is locked, so they must not call Next.
 type Observer interface {
 	// InForce is called when a version comes into force, with its source ("store",
-	// "relay" or "peer") and the number of its routes.
-	InForce(version int64, source string, routes int)
+	// "relay" or "peer").
+	InForce(c router.Configuration, source string)
+	// Rejected is called with true when the store's newest configuration can't be decoded,
+	// and with false when a later one can, or when the node stops watching the store.
+	Rejected(rejected bool)
 	// Unusable is called when a configuration from a source could not be decoded, or when
 	// the one in force could not be encoded for another node (source "encoder").
 	Unusable(source string, err error)
@@ -130,6 +136,10 @@
 	// revision is the store revision up to which the version in force is known to be the
 	// newest; 0 is unknown.
 	revision keeper.Revision
+	// rejected reports that the node watches the store and can't decode its newest
+	// configuration. Another release may be able to, so the node then does not count as
+	// receiving changes.
+	rejected bool
 	// changed is closed and replaced when the version or the result of subscribed may have
 	// changed.
 	changed chan struct{}
@@ -205,6 +215,9 @@
 // setWatchingStore sets whether the node watches the store and returns the previous
 // value.
 func (s *Subscriber) setWatchingStore(watching bool) bool {
+	if !watching {
+		s.forgetRejected()
+	}
 	before := s.watchingStore.Swap(watching)
 	if before != watching {
 		s.notifyWaiters()
@@ -226,15 +239,19 @@
 	s.changed = make(chan struct{})
 }
 
-// apply brings a configuration into force if it is newer than the one in force.
+// apply brings a configuration into force if it is newer than the one in force. The store's
+// value is rejected if it can't be decoded.
 func (s *Subscriber) apply(data []byte, source string) {
 	c, err := s.config.Decode(data)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if source == storeSource {
+		s.setRejectedLocked(err != nil)
+	}
 	if err != nil {
 		s.config.Observe.Unusable(source, err)
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	previous := s.table.Load()
 	if previous != nil && c.Version <= previous.Version {
 		return
@@ -242,5 +259,33 @@
 	s.table.Store(router.New(c, previous))
 	s.history.Add(c.Version, data)
 	s.notifyWaitersLocked()
-	s.config.Observe.InForce(c.Version, source, len(c.Routes))
+	s.config.Observe.InForce(c, source)
+}
+
+// setRejectedLocked sets whether the store's newest configuration can't be decoded. The
+// caller holds s.mu.
+func (s *Subscriber) setRejectedLocked(rejected bool) {
+	if s.rejected == rejected {
+		return
+	}
+	s.rejected = rejected
+	s.config.Observe.Rejected(rejected)
+	s.notifyWaitersLocked()
+}
+
+// forgetRejected is called when the node no longer watches the store. A rejected value is
+// read again at the next watch, so the revision is unknown until then.
+func (s *Subscriber) forgetRejected() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.rejected {
+		s.revision = 0
+		s.setRejectedLocked(false)
+	}
+}
+
+func (s *Subscriber) hasRejected() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rejected
 }
