acceptor: a request that is being read survives the closing of idle connections

Now a connection is not idle from the first byte of a request on, and such requests count as in flight.

Found beside it by reading, each with a test that failed first: an interim 100 response fell into the response to an earlier pipelined request; after a 413 or 431 the rest of the input was not read, so that a reset could take the response away (the read limit was spent); a chunked body could exceed the limit by a buffer; a body that stopped midway closed the connection without a response (now 408, which is true: the call has not run); a malformed chunk too (now 400).

Six of the cases of conn_test.go fail on the code before.

--- a/internal/proxy/acceptor/acceptor.go
+++ b/internal/proxy/acceptor/acceptor.go
@@ -86,21 +86,20 @@
 	delete(a.conns, c)
 }
 
-// InFlight returns the number of calls whose response is not written yet.
+// InFlight returns the number of calls whose response is not written yet, including those
+// that are being read.
 func (a *Acceptor) InFlight() int { return int(a.inFlight.Load()) }
 
 // Stop makes the acceptor refuse further calls, except nested ones. Each connection ends
 // after the response to the last call that was read from it.
 func (a *Acceptor) Stop() { a.stopping.Store(true) }
 
-// CloseIdle closes the connections without a call in flight.
+// CloseIdle closes the connections on which no call is in flight or being read.
 func (a *Acceptor) CloseIdle() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for c := range a.conns {
-		if c.pending.Load() == 0 {
-			_ = c.raw.Close()
-		}
+		c.closeIfIdle()
 	}
 }
 
--- a/internal/proxy/acceptor/conn.go
+++ b/internal/proxy/acceptor/conn.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -27,6 +28,8 @@
 	// write side. If unread input were left at the close, the kernel would reset the
 	// connection, and the caller could lose the response.
 	lingerTime = 500 * time.Millisecond
+	// lingerBytes bounds the input that is discarded during lingerTime.
+	lingerBytes = 1 << 20
 )
 
 // errReadLimit is returned when the head or the body of a request exceeds its limit.
@@ -65,6 +68,14 @@
 	work chan task
 	// hasWorker is set once a goroutine has become the worker.
 	hasWorker atomic.Bool
+
+	// mu guards reading and closed.
+	mu sync.Mutex
+	// reading is set from the first byte of a request until the request is pending. Such a
+	// connection is not idle: its caller would lose a request that the node has read.
+	reading bool
+	// closed is set when the connection was closed as idle.
+	closed bool
 }
 
 // limitedReader returns errReadLimit once the remaining number of bytes was read.
@@ -104,23 +115,23 @@
 	previous := make(chan struct{})
 	close(previous)
 	for {
-		request, body, err := c.readRequest()
+		request, body, err := c.readRequest(previous)
+		if err == nil && c.ended.Load() {
+			err = net.ErrClosed
+		}
 		if err != nil {
 			c.finish(err, previous)
+			c.endRead()
 			cancel()
 			return
 		}
 		received := time.Now()
-		if c.ended.Load() {
-			c.finish(net.ErrClosed, previous)
-			cancel()
-			return
-		}
 		call := c.acceptor.dialect.DecodeCall(request, body)
 		c.pipelined <- struct{}{}
 		written := make(chan struct{})
 		c.pending.Add(1)
 		c.acceptor.inFlight.Add(1)
+		c.endRead()
 		c.startTask(ctx, task{call: call, received: received, last: request.Close, previous: previous, written: written})
 		previous = written
 		if request.Close {
@@ -131,9 +142,44 @@
 	}
 }
 
+// beginRead records that a request is being read. It returns false if the connection was
+// closed as idle.
+func (c *conn) beginRead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return false
+	}
+	c.reading = true
+	c.acceptor.inFlight.Add(1)
+	return true
+}
+
+// endRead records that the request is pending, or that reading it has failed.
+func (c *conn) endRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.reading {
+		c.reading = false
+		c.acceptor.inFlight.Add(-1)
+	}
+}
+
+// closeIfIdle closes the connection if no request is pending or being read.
+func (c *conn) closeIfIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.reading || c.pending.Load() > 0 {
+		return
+	}
+	c.closed = true
+	_ = c.raw.Close()
+}
+
 // readRequest reads one request with its body. A request that is invalid or exceeds a
-// limit is returned as a *rejection.
-func (c *conn) readRequest() (*http.Request, []byte, error) {
+// limit is returned as a *rejection. Previous is closed when the responses to the earlier
+// requests are written.
+func (c *conn) readRequest(previous <-chan struct{}) (*http.Request, []byte, error) {
 	limits := c.acceptor.handler.Limits()
 	c.limit.remaining = int64(limits.MaxHeaderBytes) + readBufferBytes
 	c.setReadTimeout(limits.IdleTimeout)
@@ -148,43 +194,54 @@
 		}
 		break
 	}
+	if !c.beginRead() {
+		return nil, nil, net.ErrClosed
+	}
 	c.setReadTimeout(limits.HeaderTimeout)
 	request, err := http.ReadRequest(c.reader)
 	if err != nil {
-		return nil, nil, c.headError(err)
+		return nil, nil, readError(err, headRejections)
 	}
 	if headBytes(request) > limits.MaxHeaderBytes {
-		return nil, nil, &rejection{http.StatusRequestHeaderFieldsTooLarge, "headerTooLarge"}
+		return nil, nil, headRejections.tooLarge
 	}
-	body, err := c.body(request, limits.MaxBodyBytes)
+	body, err := c.body(request, limits.MaxBodyBytes, previous)
 	c.setReadTimeout(0)
 	return request, body, err
 }
 
 // body reads the body of a request. It returns a *rejection if the body is longer than
-// limit bytes. A body without Content-Length may exceed the limit by the size of the read
-// buffer, since the limit then applies to the bytes on the wire.
-func (c *conn) body(request *http.Request, limit int64) ([]byte, error) {
+// limit bytes.
+func (c *conn) body(request *http.Request, limit int64, previous <-chan struct{}) ([]byte, error) {
 	if request.ContentLength > limit {
-		return nil, &rejection{http.StatusRequestEntityTooLarge, string(carrier.BodyTooLarge)}
+		return nil, bodyRejections.tooLarge
 	}
-	c.limit.remaining = limit + readBufferBytes
 	if request.ContentLength == 0 {
 		return nil, nil
 	}
 	if strings.EqualFold(request.Header.Get("Expect"), "100-continue") {
+		// An interim response must not fall into the response to an earlier request.
+		<-previous
 		if _, err := io.WriteString(c.raw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return nil, err
 		}
 	}
+	c.limit.remaining = maxChunkOverhead*limit + readBufferBytes
 	c.setReadTimeout(bodyTimeout)
-	body, err := io.ReadAll(request.Body)
-	if errors.Is(err, errReadLimit) {
-		return nil, &rejection{http.StatusRequestEntityTooLarge, string(carrier.BodyTooLarge)}
+	body, err := io.ReadAll(io.LimitReader(request.Body, limit+1))
+	if int64(len(body)) > limit {
+		return nil, bodyRejections.tooLarge
 	}
-	return body, err
+	if err != nil {
+		return nil, readError(err, bodyRejections)
+	}
+	return body, nil
 }
 
+// maxChunkOverhead times the limit of the body bounds the bytes of a chunked body on the
+// wire. Chunks of one byte take six.
+const maxChunkOverhead = 6
+
 // bodyTimeout is the timeout for reading the body of one request.
 const bodyTimeout = 30 * time.Second
 
@@ -206,14 +263,34 @@
 
 func (r *rejection) Error() string { return r.reason }
 
-// headError translates an error of reading a request's head: to a *rejection if the caller
-// gets a response, and to the error itself if the connection has failed.
-func (c *conn) headError(err error) error {
+// rejections holds the rejections of one part of a request.
+type rejections struct {
+	tooLarge  *rejection
+	timeout   *rejection
+	malformed *rejection
+}
+
+var (
+	headRejections = rejections{
+		tooLarge:  &rejection{http.StatusRequestHeaderFieldsTooLarge, "headerTooLarge"},
+		timeout:   &rejection{http.StatusRequestTimeout, "headerTimeout"},
+		malformed: &rejection{http.StatusBadRequest, "malformedRequest"},
+	}
+	bodyRejections = rejections{
+		tooLarge:  &rejection{http.StatusRequestEntityTooLarge, string(carrier.BodyTooLarge)},
+		timeout:   &rejection{http.StatusRequestTimeout, "bodyTimeout"},
+		malformed: &rejection{http.StatusBadRequest, "malformedBody"},
+	}
+)
+
+// readError translates an error of reading a part of a request: to a *rejection if the
+// caller gets a response, and to the error itself if the connection has failed.
+func readError(err error, r rejections) error {
 	switch {
 	case errors.Is(err, errReadLimit):
-		return &rejection{http.StatusRequestHeaderFieldsTooLarge, "headerTooLarge"}
+		return r.tooLarge
 	case isTimeout(err):
-		return &rejection{http.StatusRequestTimeout, "headerTimeout"}
+		return r.timeout
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed):
 		return err
 	}
@@ -221,7 +298,7 @@
 	if errors.As(err, &broken) {
 		return err
 	}
-	return &rejection{http.StatusBadRequest, "malformedRequest"}
+	return r.malformed
 }
 
 func isTimeout(err error) bool {
@@ -333,6 +410,7 @@
 	<-previous
 	if !c.ended.Load() {
 		c.write(carrier.Call{Method: http.MethodGet}, Response{Refused: true, Status: r.status, Reason: r.reason}, true)
+		c.limit.remaining = lingerBytes
 		c.discardInput()
 	}
 	_ = c.raw.Close()
@@ -340,9 +418,9 @@
 
 // lingerAndClose discards input after the caller's last request until the read fails,
 // and closes the connection. The read fails at the latest lingerTime after the last
-// response, or after 1 MiB of input.
+// response, or after lingerBytes of input.
 func (c *conn) lingerAndClose() {
-	c.limit.remaining = 1 << 20
+	c.limit.remaining = lingerBytes
 	c.discardInput()
 	_ = c.raw.Close()
 }
--- /dev/null
+++ b/internal/proxy/acceptor/conn_test.go
@@ -0,0 +1,168 @@
+package acceptor_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/tamarackscale/tamarackscale/internal/proxy/acceptor"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/router"
+	"github.com/tamarackscale/tamarackscale/platform"
+)
+
+// slowHandler answers every call with its target after a time.
+type slowHandler struct{ time time.Duration }
+
+func (h slowHandler) Handle(_ context.Context, call carrier.Call, _ time.Time) acceptor.Response {
+	time.Sleep(h.time)
+	return acceptor.Response{Answer: carrier.Answer{Status: http.StatusOK, Body: []byte(call.Target)}}
+}
+
+func (slowHandler) Nested(carrier.Call) bool { return false }
+
+func (slowHandler) Limits() router.Limits {
+	return router.Limits{MaxHeaderBytes: 4 << 10, MaxBodyBytes: 10, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
+}
+
+// singleListener accepts one connection.
+type singleListener struct{ conns chan net.Conn }
+
+func (l singleListener) Accept() (net.Conn, error) {
+	c, open := <-l.conns
+	if !open {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+
+func (l singleListener) Close() error { return nil }
+func (singleListener) Addr() net.Addr { return nil }
+
+// caller is the caller's side of a connection to an acceptor.
+type caller struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func (c *caller) receive() (*http.Response, string, error) {
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return nil, "", err
+	}
+	body, err := io.ReadAll(response.Body)
+	return response, string(body), err
+}
+
+// withCaller runs a test on simulated time with one connection to an acceptor.
+func withCaller(t *testing.T, handler acceptor.Handler, run func(a *acceptor.Acceptor, c *caller)) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("a connection", t, func() {
+			near, far := net.Pipe()
+			l := singleListener{conns: make(chan net.Conn, 1)}
+			l.conns <- far
+			close(l.conns)
+			a := acceptor.New(platform.HTTP{}, handler)
+			go a.Serve(l)
+			run(a, &caller{Conn: near, reader: bufio.NewReader(near)})
+			So(near.Close(), ShouldBeNil)
+			a.Close()
+			time.Sleep(time.Minute)
+		})
+	})
+}
+
+func send(c *caller, text string) {
+	_, err := io.WriteString(c, text)
+	So(err, ShouldBeNil)
+}
+
+// At a planned stop, the idle connections are closed while a request is being read from one
+// of them. Its caller must get a response.
+func TestIdleCloseSparesRequestBeingRead(t *testing.T) {
+	withCaller(t, slowHandler{}, func(a *acceptor.Acceptor, c *caller) {
+		send(c, "POST /one HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbo")
+		synctest.Wait()
+		a.Stop()
+		a.CloseIdle()
+		So(a.InFlight(), ShouldEqual, 1)
+		send(c, "dy")
+		response, _, err := c.receive()
+		So(err, ShouldBeNil)
+		So(response.StatusCode, ShouldEqual, http.StatusServiceUnavailable)
+		synctest.Wait()
+		So(a.InFlight(), ShouldEqual, 0)
+	})
+}
+
+func TestIdleCloseClosesIdleConnection(t *testing.T) {
+	withCaller(t, slowHandler{}, func(a *acceptor.Acceptor, c *caller) {
+		send(c, "GET /one HTTP/1.1\r\nHost: h\r\n\r\n")
+		_, body, err := c.receive()
+		So(err, ShouldBeNil)
+		So(body, ShouldEqual, "/one")
+		synctest.Wait()
+		a.CloseIdle()
+		_, _, err = c.receive()
+		So(err, ShouldNotBeNil)
+	})
+}
+
+// The second of two pipelined requests asks for an interim response while the first is
+// served. The interim response must follow the first one's.
+func TestInterimResponseFollowsEarlierResponse(t *testing.T) {
+	withCaller(t, slowHandler{time: time.Second}, func(_ *acceptor.Acceptor, c *caller) {
+		send(c, "GET /one HTTP/1.1\r\nHost: h\r\n\r\n")
+		send(c, "POST /two HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nExpect: 100-continue\r\n\r\n")
+		_, body, err := c.receive()
+		So(err, ShouldBeNil)
+		So(body, ShouldEqual, "/one")
+		interim, _, err := c.receive()
+		So(err, ShouldBeNil)
+		So(interim.StatusCode, ShouldEqual, http.StatusContinue)
+		send(c, "body")
+		_, body, err = c.receive()
+		So(err, ShouldBeNil)
+		So(body, ShouldEqual, "/two")
+	})
+}
+
+// A request that exceeds a limit, is malformed or stops midway gets a response that its
+// caller can read: the rest of the input is still read for a while, since the connection
+// would be reset otherwise.
+func TestRejectedRequestGetsResponse(t *testing.T) {
+	post := "POST /one HTTP/1.1\r\nHost: h\r\n"
+	chunked := post + "Transfer-Encoding: chunked\r\n\r\n"
+	cases := []struct {
+		name, text string
+		status     int
+	}{
+		{"header too large", post + "X: " + strings.Repeat("x", 12<<10), http.StatusRequestHeaderFieldsTooLarge},
+		{"declared body too large", post + "Content-Length: 11\r\n\r\n", http.StatusRequestEntityTooLarge},
+		{"chunked body too large by one byte", chunked + "b\r\n01234567890\r\n0\r\n\r\n", http.StatusRequestEntityTooLarge},
+		{"chunk extensions without end", chunked + "1;" + strings.Repeat("x", 64<<10), http.StatusBadRequest},
+		{"malformed chunk", chunked + "zz\r\n", http.StatusBadRequest},
+		{"body that stops", post + "Content-Length: 4\r\n\r\nbo", http.StatusRequestTimeout},
+		{"header that stops", post, http.StatusRequestTimeout},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			withCaller(t, slowHandler{}, func(_ *acceptor.Acceptor, caller *caller) {
+				// The connection may end before all is sent.
+				go func() { _, _ = io.WriteString(caller, c.text) }()
+				response, _, err := caller.receive()
+				So(err, ShouldBeNil)
+				So(response.StatusCode, ShouldEqual, c.status)
+				send(caller, "more")
+			})
+		})
+	}
+}
