executor, coder, platform: bytes without end that are no answer are bounded

Cause, by reading and by the tests: an endless status line, header or series of interim answers was read into memory until the call's deadline; 1xx was taken as the final answer; 16 MB could be read on each connection at once, more than a small VM has; the codec between nodes allocated what a message declared, and after a malformed body net/rpc went on reading its bytes as further messages, so that a call inside it was run.

Now: 64 KiB for a head with its interim answers, 16 MiB for a body, 64 MiB on the wire with its chunks, 32 MiB for all answers that are being read; the connection is closed, the slot is free, the caller of a non-idempotent call gets 502, an idempotent one is retried elsewhere. A value between nodes is bounded before it is allocated, and a malformed body ends the connection. Idle connections to the upstream that are too old for reuse are closed.

Also from the list of what looked wrong: a refusal that follows a stale send no longer says that the call has not run; MarkAbsent and the backoff after a failed dial concern an incarnation, so that a former one can't end or block the next (test fails first); the field 'unsent' was never set and is gone.

Ruled out: limits generated for arrays (msgp:limit) also bound byte strings to the same number, so they can't be used for bodies.

--- a/internal/proxy/coder/coder.go
+++ b/internal/proxy/coder/coder.go
@@ -16,6 +16,16 @@
 // written in several chunks.
 const bufferBytes = 2 << 10
 
+// Limits of what one value of a message may declare. A value beyond them fails the
+// connection before its memory is allocated.
+const (
+	// maxValueBytes bounds a byte string. It exceeds the limits of bodies of requests and
+	// answers, and the size of an encoded configuration.
+	maxValueBytes = 17 << 20
+	// maxStringBytes bounds a text, such as the value of a header field.
+	maxStringBytes = 1 << 20
+)
+
 // TypeError reports a value whose type has no MessagePack encoding.
 type TypeError struct{ Value any }
 
@@ -31,9 +41,10 @@
 }
 
 func newCodec(conn io.ReadWriteCloser) codec {
-	return codec{
-		conn: conn, reader: msgp.NewReaderSize(conn, bufferBytes), writer: msgp.NewWriterSize(conn, bufferBytes),
-	}
+	reader := msgp.NewReaderSize(conn, bufferBytes)
+	reader.SetMaxElements(maxValueBytes)
+	reader.SetMaxStringLength(maxStringBytes)
+	return codec{conn: conn, reader: reader, writer: msgp.NewWriterSize(conn, bufferBytes)}
 }
 
 // Close implements rpc.ClientCodec and rpc.ServerCodec.
@@ -114,19 +125,31 @@
 func (c *ClientCodec) ReadResponseBody(body any) error { return c.readBody(body) }
 
 // ServerCodec implements rpc.ServerCodec.
-type ServerCodec struct{ codec }
+type ServerCodec struct {
+	codec
+	// broken is the error of the last body, if it could not be decoded.
+	broken error
+}
 
 // NewServerCodec returns the codec of a connection's server side.
-func NewServerCodec(conn io.ReadWriteCloser) *ServerCodec { return &ServerCodec{newCodec(conn)} }
+func NewServerCodec(conn io.ReadWriteCloser) *ServerCodec { return &ServerCodec{codec: newCodec(conn)} }
 
-// ReadRequestHeader implements rpc.ServerCodec.
+// ReadRequestHeader implements rpc.ServerCodec. After a body that could not be decoded it
+// fails, which makes net/rpc end the connection: the rest of that body must not be taken for
+// a message.
 func (s *ServerCodec) ReadRequestHeader(r *rpc.Request) (err error) {
+	if s.broken != nil {
+		return s.broken
+	}
 	r.ServiceMethod, r.Seq, _, err = s.readHeader()
 	return err
 }
 
 // ReadRequestBody implements rpc.ServerCodec.
-func (s *ServerCodec) ReadRequestBody(body any) error { return s.readBody(body) }
+func (s *ServerCodec) ReadRequestBody(body any) error {
+	s.broken = s.readBody(body)
+	return s.broken
+}
 
 // WriteResponse implements rpc.ServerCodec.
 func (s *ServerCodec) WriteResponse(r *rpc.Response, body any) error {
--- a/internal/proxy/coder/coder_test.go
+++ b/internal/proxy/coder/coder_test.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"errors"
+	"io"
 	"net"
 	"net/rpc"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -77,3 +79,70 @@
 		So(client.Call("Echo.Load", &balancer.Load{}, &balancer.Load{}), ShouldBeNil)
 	})
 }
+
+// A peer may send bytes that are no message. Neither side may allocate what they declare or
+// read on without end.
+func TestBytesThatAreNoMessageEndConnection(t *testing.T) {
+	cases := map[string][]byte{
+		"text":                 bytes.Repeat([]byte("nonsense "), 1000),
+		"a string of 4 GB":     {0xdb, 0xff, 0xff, 0xff, 0xff, 'x'},
+		"a method of 2 MB":     append([]byte{0xdb, 0, 0x20, 0, 0}, make([]byte, 2<<20)...),
+		"a byte string of 4GB": append([]byte{0xa8, 'E', 'c', 'h', 'o', '.', 'J', 'o', 'b', 1, 0xa0, 0x9a, 0x98, 0xa1, '1'}, 0xc6, 0xff, 0xff, 0xff, 0xff),
+	}
+	for name, sent := range cases {
+		Convey("A server that receives "+name, t, func() {
+			near, far := net.Pipe()
+			server := rpc.NewServer()
+			So(server.RegisterName("Echo", echo{}), ShouldBeNil)
+			done := make(chan struct{})
+			go func() {
+				server.ServeCodec(NewServerCodec(far))
+				close(done)
+			}()
+			// The server may close the connection before all is sent.
+			go func() { _, _ = near.Write(sent) }()
+			go func() { _, _ = io.Copy(io.Discard, near) }()
+			<-done
+			So(near.Close(), ShouldBeNil)
+		})
+	}
+}
+
+// The body of a call is malformed and holds the bytes of another call. That must not run.
+func TestCallInsideMalformedBodyIsNotRun(t *testing.T) {
+	Convey("A server ends the connection after a malformed body", t, func() {
+		near, far := net.Pipe()
+		server := rpc.NewServer()
+		counter := &counted{}
+		So(server.RegisterName("Counted", counter), ShouldBeNil)
+		done := make(chan struct{})
+		go func() {
+			server.ServeCodec(NewServerCodec(far))
+			close(done)
+		}()
+		go func() { _, _ = io.Copy(io.Discard, near) }()
+		var hidden bytes.Buffer
+		So(newCodec(pipeOf(&hidden)).write("Counted.Run", 2, "", &carrier.Field{Name: "n"}), ShouldBeNil)
+		var outer bytes.Buffer
+		So(newCodec(pipeOf(&outer)).write("Counted.Run", 1, "", nil), ShouldBeNil)
+		go func() { _, _ = near.Write(append(outer.Bytes(), hidden.Bytes()...)) }()
+		<-done
+		So(counter.runs.Load(), ShouldEqual, 0)
+		So(near.Close(), ShouldBeNil)
+	})
+}
+
+// counted is an RPC service that counts its calls.
+type counted struct{ runs atomic.Int64 }
+
+func (c *counted) Run(*carrier.Field, *carrier.Field) error {
+	c.runs.Add(1)
+	return nil
+}
+
+// bufferConn is a connection that writes to a buffer.
+type bufferConn struct{ *bytes.Buffer }
+
+func (bufferConn) Close() error { return nil }
+
+func pipeOf(b *bytes.Buffer) io.ReadWriteCloser { return bufferConn{b} }
--- a/internal/proxy/executor/exchange.go
+++ b/internal/proxy/executor/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"time"
 
 	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
@@ -12,8 +11,6 @@
 	// maxForeignAnswers is how many answers to other calls are discarded before the
 	// connection is closed.
 	maxForeignAnswers = 4
-	// maxAnswerBytes is the maximum size of an answer's body.
-	maxAnswerBytes = 16 << 20
 	// concurrentWriteBytes is the body size above which a request is written
 	// concurrently with the reading of its answer, which may arrive before the whole
 	// request is written.
@@ -23,8 +20,6 @@
 // exchangeResult is the result of one exchange with the upstream.
 type exchangeResult struct {
 	carrier.Result
-	// unsent reports whether the connection failed before anything was sent on it.
-	unsent bool
 	// stale reports whether a reused connection failed before the first byte of an
 	// answer.
 	stale bool
@@ -39,7 +34,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	result, reusable := e.roundTrip(c, request)
 	cancelled := !stop()
-	if result.Outcome != carrier.Run && ctx.Err() != nil && !result.unsent && result.Outcome == carrier.Unknown {
+	if result.Outcome == carrier.Unknown && ctx.Err() != nil {
 		result.Reason = reasonOf(ctx)
 	}
 	if !reusable || cancelled {
@@ -87,6 +82,7 @@
 // call arrives. It also reports whether the connection can be reused.
 func (e *Executor) receive(c *connection, request UpstreamRequest) (exchangeResult, bool) {
 	for range maxForeignAnswers {
+		c.wire.remaining = maxHeadBytes
 		if _, err := c.reader.Peek(1); err != nil {
 			return exchangeResult{Result: carrier.Fail(carrier.AnswerBroken), stale: !c.fresh}, false
 		}
@@ -94,11 +90,13 @@
 		if err != nil {
 			return exchangeResult{Result: carrier.Fail(carrier.AnswerBroken)}, false
 		}
-		body, err := io.ReadAll(io.LimitReader(head.Body, maxAnswerBytes+1))
-		_ = head.Body.Close()
-		if err != nil || len(body) > maxAnswerBytes {
+		c.wire.remaining = maxWireBytes
+		body, err := e.memory.readAll(head.Body)
+		if err != nil {
+			// The connection ends with the answer; closing the body would read on.
 			return exchangeResult{Result: carrier.Fail(carrier.AnswerBroken)}, false
 		}
+		_ = head.Body.Close()
 		if head.ID != request.Call.ID {
 			if head.Close {
 				break
--- a/internal/proxy/executor/executor.go
+++ b/internal/proxy/executor/executor.go
@@ -52,6 +52,7 @@
 	config  Config
 	dialect Dialect
 	pool    *pool
+	memory  memoryLimiter
 
 	mu      sync.Mutex
 	tracker *tracker.Tracker
@@ -310,55 +311,75 @@
 }
 
 // run sends a call that has a slot. An idempotent call is sent again on another
-// connection if a reused one failed before any byte of an answer.
+// connection if a reused one failed before any byte of an answer. Once it was sent, a
+// refusal no longer states that it has not run.
 func (e *Executor) run(ctx context.Context, job Job, deadline time.Time) carrier.Result {
+	sent := false
 	for range maxConnectionsTried {
-		now := time.Now()
-		e.mu.Lock()
-		reason := e.refusalReason(job.Service, now)
-		upstream := e.tracker.Current()
-		e.mu.Unlock()
-		if reason != "" {
-			return carrier.Refuse(reason)
+		result, stale := e.runOnce(ctx, job, deadline)
+		if sent && result.Outcome == carrier.NotRun && !result.Arrived {
+			return carrier.Fail(result.Reason)
 		}
-		c, err := e.pool.get(ctx, upstream.Address, now)
-		if err != nil {
-			return e.markUnreachable(ctx, now)
+		if !stale || !job.Idempotent || ctx.Err() != nil {
+			return result
 		}
-		result := e.exchange(ctx, c, upstream.Address, UpstreamRequest{
-			Call: job.Call, Instance: upstream.Instance, CallerService: job.CallerService, Remaining: time.Until(deadline),
-		})
-		if result.Reason == carrier.WrongEndpoint {
-			e.markAbsent(upstream.Instance)
-		}
-		if result.stale && job.Idempotent && ctx.Err() == nil {
-			continue
-		}
-		return result.Result
+		sent = true
 	}
 	return carrier.Fail(carrier.AnswerBroken)
 }
 
+// runOnce sends a call on one connection. It also reports whether that was a reused one that
+// failed before any byte of an answer.
+func (e *Executor) runOnce(ctx context.Context, job Job, deadline time.Time) (carrier.Result, bool) {
+	now := time.Now()
+	e.mu.Lock()
+	reason := e.refusalReason(job.Service, now)
+	upstream := e.tracker.Current()
+	e.mu.Unlock()
+	if reason != "" {
+		return carrier.Refuse(reason), false
+	}
+	c, err := e.pool.get(ctx, upstream.Address, now)
+	if err != nil {
+		return e.markUnreachable(ctx, upstream.Incarnation(), now), false
+	}
+	result := e.exchange(ctx, c, upstream.Address, UpstreamRequest{
+		Call: job.Call, Instance: upstream.Instance, CallerService: job.CallerService, Remaining: time.Until(deadline),
+	})
+	if result.Reason == carrier.WrongEndpoint {
+		e.markAbsent(upstream.Incarnation())
+	}
+	return result.Result, result.stale
+}
+
 // markUnreachable starts the backoff after a connection could not be opened, unless the
-// context has ended. It returns the refusal of the call.
-func (e *Executor) markUnreachable(ctx context.Context, now time.Time) carrier.Result {
+// context has ended or another incarnation of the upstream has taken over meanwhile. It
+// returns the refusal of the call.
+func (e *Executor) markUnreachable(ctx context.Context, incarnation tracker.Incarnation, now time.Time) carrier.Result {
 	if ctx.Err() != nil {
 		return carrier.Refuse(reasonOf(ctx))
 	}
 	e.mu.Lock()
-	e.unreachableUntil = now.Add(unreachableBackoff)
-	e.mu.Unlock()
+	defer e.mu.Unlock()
+	if e.tracker.Current().Incarnation() == incarnation {
+		e.unreachableUntil = now.Add(unreachableBackoff)
+	}
 	return carrier.Refuse(carrier.UpstreamUnreachable)
 }
 
-// markAbsent records that another instance has the upstream's address, and refuses the
-// queued calls.
-func (e *Executor) markAbsent(instance string) {
+// markAbsent records that another instance has the address of an incarnation of the
+// upstream, and refuses the queued calls. It does nothing if a later incarnation has taken
+// over meanwhile.
+func (e *Executor) markAbsent(incarnation tracker.Incarnation) {
 	e.mu.Lock()
-	e.tracker.MarkAbsent(instance)
-	e.queue.RefuseAll()
+	marked := e.tracker.MarkAbsent(incarnation)
+	if marked {
+		e.queue.RefuseAll()
+	}
 	e.mu.Unlock()
-	e.config.Changed()
+	if marked {
+		e.config.Changed()
+	}
 }
 
 // Stop refuses new and queued calls. Calls in flight continue.
--- a/internal/proxy/executor/pool.go
+++ b/internal/proxy/executor/pool.go
@@ -27,7 +27,9 @@
 // connection is one connection to the upstream. One call uses it at a time.
 type connection struct {
 	net.Conn
+	// reader reads from wire.
 	reader *bufio.Reader
+	wire   *wireLimiter
 	writer *bufio.Writer
 	// idle is how long the connection may be idle and still be reused.
 	idle    time.Duration
@@ -88,8 +90,9 @@
 	if err != nil {
 		return nil, err
 	}
+	wire := &wireLimiter{Reader: conn}
 	return &connection{
-		Conn: conn, reader: bufio.NewReaderSize(conn, bufferBytes), writer: bufio.NewWriterSize(conn, bufferBytes),
+		Conn: conn, reader: bufio.NewReaderSize(wire, bufferBytes), wire: wire, writer: bufio.NewWriterSize(conn, bufferBytes),
 		idle: defaultIdleTimeout, fresh: true,
 	}, nil
 }
@@ -107,9 +110,21 @@
 		_ = c.Close()
 		return
 	}
+	p.closeExpired(now)
 	p.idle = append(p.idle, c)
 }
 
+// closeExpired closes the connections that have been idle for too long to be reused. They
+// are the first ones, since the most recently used are at the end. The caller holds the lock.
+func (p *pool) closeExpired(now time.Time) {
+	expired := 0
+	for expired < len(p.idle) && now.Sub(p.idle[expired].lastUse) >= p.idle[expired].idle {
+		_ = p.idle[expired].Close()
+		expired++
+	}
+	p.idle = append(p.idle[:0], p.idle[expired:]...)
+}
+
 // drop closes all idle connections.
 func (p *pool) drop() {
 	p.mu.Lock()
--- a/internal/proxy/tracker/tracker.go
+++ b/internal/proxy/tracker/tracker.go
@@ -47,6 +47,9 @@
 	ColdUntil time.Time
 }
 
+// Incarnation returns the incarnation that sent the heartbeat.
+func (h Heartbeat) Incarnation() Incarnation { return Incarnation{Instance: h.Instance, Born: h.Born} }
+
 // Incarnation identifies one incarnation of an upstream.
 type Incarnation struct {
 	Instance string
@@ -175,10 +178,13 @@
 	return since, draining && incarnation.Born <= since.UnixMilli()
 }
 
-// MarkAbsent records that another instance answers at the address of the given one. The
-// upstream is absent until the next heartbeat, of any instance.
-func (t *Tracker) MarkAbsent(instance string) {
-	if t.current.Instance == instance {
-		t.current.State = Absent
+// MarkAbsent records that another instance answers at the address of the given incarnation,
+// and reports whether that is the current one. The upstream is absent until the next
+// heartbeat, of any instance.
+func (t *Tracker) MarkAbsent(incarnation Incarnation) bool {
+	if t.current.Incarnation() != incarnation {
+		return false
 	}
+	t.current.State = Absent
+	return true
 }
--- a/internal/proxy/tracker/tracker_test.go
+++ b/internal/proxy/tracker/tracker_test.go
@@ -65,12 +65,20 @@
 	Convey("The instance is absent once another instance answers at its address", t, func() {
 		tr := New()
 		tr.Accept(heartbeat("i", 1, 1), now)
-		tr.MarkAbsent("other")
+		tr.MarkAbsent(Incarnation{Instance: "other"})
 		So(tr.Current().State, ShouldEqual, Ready)
-		tr.MarkAbsent("i")
+		tr.MarkAbsent(tr.Current().Incarnation())
 		So(tr.Current().State, ShouldEqual, Absent)
 		So(tr.Accept(heartbeat("next", 2, 1), now), ShouldEqual, Changed)
 	})
+	Convey("An answer to a former incarnation does not end the current one of the same instance", t, func() {
+		tr := New()
+		tr.Accept(heartbeat("i", 1, 1), now)
+		former := tr.Current().Incarnation()
+		tr.Accept(heartbeat("i", 2, 1), now)
+		So(tr.MarkAbsent(former), ShouldBeFalse)
+		So(tr.Current().State, ShouldEqual, Ready)
+	})
 }
 
 func TestDrainingRecordedBeforeFirstHeartbeatIsKept(t *testing.T) {
