proxy: faults found by reading: results of hedges, refusals, limits, replies

From the list of what looked wrong, in the order of what a caller would lose; the tests of recognizer, gater, balancer and dispatcher failed first: - combine returned the 500 of a hedge over the 200 of the first attempt - the expiry of an older refusal deleted the newer one of the same call - a call that leads to several services without capacity passed the limit of each: 0.25, 0.06, 0.014 admitted; now the strictest one decides - HasCapacity ignored that an upstream had replied that it drains - connect could return neither a connection nor an error, which would end the process - replies were copied while net/rpc might still decode into them - an attempt whose context ended between two sends was not cancelled at the receiver - a resend that joined an execution reported no upstream time, which entered the estimates - the retry budget was charged though no node was left - a deadline that passed in a queue counted as a failure of the upstream - fencer: 'revoked' was never read

--- a/internal/proxy/balancer/balancer.go
+++ b/internal/proxy/balancer/balancer.go
@@ -193,6 +193,9 @@
 	return best
 }
 
+// Available reports whether Pick would return a candidate.
+func (b *Balancer) Available(info PickInfo, now time.Time) bool { return b.best(info, now) != nil }
+
 // best returns the candidate that Pick chooses, or nil, without counting a call.
 func (b *Balancer) best(info PickInfo, now time.Time) *Candidate {
 	var best *Candidate
@@ -358,7 +361,7 @@
 // less than maxUtilisation of its slots and is expected to answer before the call's deadline.
 func (b *Balancer) HasCapacity(info PickInfo, now time.Time) bool {
 	c := b.best(info, now)
-	if c == nil || now.Before(c.ejectedUntil) || c.full(info.Class, now) || c.Draining {
+	if c == nil || now.Before(c.ejectedUntil) || c.full(info.Class, now) || c.Draining || c.load.Draining {
 		return false
 	}
 	busy := max(c.inFlight, c.load.InUse+c.load.Waiting)
--- a/internal/proxy/balancer/balancer_test.go
+++ b/internal/proxy/balancer/balancer_test.go
@@ -208,3 +208,17 @@
 		})
 	})
 }
+
+// Guards against a hedge that goes to an upstream which has replied that it is draining,
+// before its member record says so.
+func TestDrainingUpstreamHasNoCapacityForHedge(t *testing.T) {
+	Convey("An upstream that reported that it is draining takes no hedge", t, func() {
+		b := newPair(50*ms, 50*ms)
+		So(b.HasCapacity(callOf(1, 600*ms), now), ShouldBeTrue)
+		for range 2 {
+			c := b.Pick(callOf(1, 600*ms), now)
+			b.Done(c, Outcome{Kind: "read", Load: &Load{Slots: 4, Draining: true}}, now)
+		}
+		So(b.HasCapacity(callOf(1, 600*ms), now), ShouldBeFalse)
+	})
+}
--- a/internal/proxy/dispatcher/dispatcher.go
+++ b/internal/proxy/dispatcher/dispatcher.go
@@ -247,11 +247,15 @@
 	}
 }
 
-// choose picks the node for the next attempt, and returns nil if there is none.
-func (d *Dispatcher) choose(info balancer.PickInfo) (*balancer.Candidate, balancer.Member) {
+// choose picks the node for the next attempt, and returns nil if there is none. A retry must
+// fit the retry budget of the service, and counts against it if there is a node for it.
+func (d *Dispatcher) choose(info balancer.PickInfo, retry bool) (*balancer.Candidate, balancer.Member) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
+	if retry && (!d.Balancer.Available(info, now) || !d.retrier.Allow(info.Service, d.Balancer.Size(), now)) {
+		return nil, balancer.Member{}
+	}
 	c := d.Balancer.Pick(info, now)
 	if c == nil {
 		return nil, balancer.Member{}
@@ -266,14 +270,6 @@
 	d.Balancer.Done(c, o, time.Now())
 }
 
-// allowRetry reports whether the retry budget of the service allows one more retry, and
-// counts it if so.
-func (d *Dispatcher) allowRetry(service string) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.retrier.Allow(service, d.Balancer.Size(), time.Now())
-}
-
 func (d *Dispatcher) countCall(service string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/proxy/dispatcher/dispatcher_test.go
+++ b/internal/proxy/dispatcher/dispatcher_test.go
@@ -65,6 +65,8 @@
 		{failed, unknown, failed},
 		{failed, refused, failed},
 		{failed, run, run},
+		{run, failed, run},
+		{run, unknown, run},
 		{late, soon, soon},
 		{soon, late, soon},
 		{soon, refused, soon},
--- a/internal/proxy/dispatcher/placement.go
+++ b/internal/proxy/dispatcher/placement.go
@@ -81,11 +81,16 @@
 }
 
 // combine returns the one of two results that holds for all attempts: an answer takes
-// precedence over a failure, and a later refusal never hides that the call may have run.
-// Of two refusals, the one with the shorter known wait is returned.
+// precedence over a failure, a success over an upstream's error, and a later refusal never
+// hides that the call may have run. Of two refusals, the one with the shorter known wait is
+// returned.
 func combine(best, next carrier.Result, first bool) carrier.Result {
 	switch {
-	case first || next.Outcome == carrier.Run:
+	case first:
+		return next
+	case best.Outcome == carrier.Run && !retryable(best.Answer.Status):
+		return best
+	case next.Outcome == carrier.Run:
 		return next
 	case best.Outcome == carrier.Run || best.Outcome == carrier.Unknown:
 		return best
@@ -154,10 +159,7 @@
 	if len(p.tried) >= maxNodes {
 		return pendingAttempt{}, false
 	}
-	if p.delivered+p.inFlight > 0 && !p.d.allowRetry(p.match.Service) {
-		return pendingAttempt{}, false
-	}
-	candidate, member := p.d.choose(p.pickInfo())
+	candidate, member := p.d.choose(p.pickInfo(), p.delivered+p.inFlight > 0)
 	if candidate == nil {
 		return pendingAttempt{}, false
 	}
@@ -233,8 +235,11 @@
 		o.Full = true
 	case carrier.UpstreamShed:
 		o.Full, o.Failed = true, true
-	case carrier.AnswerBroken, carrier.DeadlineExceeded:
+	case carrier.AnswerBroken:
 		o.Failed = true
+	case carrier.DeadlineExceeded:
+		// A call whose deadline passed in the queue says nothing about the upstream.
+		o.Failed = r.Outcome != carrier.NotRun
 	case carrier.CallerGone, carrier.UrgentFirst:
 	default:
 		o.Unreachable = true
--- a/internal/proxy/fencer/fencer.go
+++ b/internal/proxy/fencer/fencer.go
@@ -23,12 +23,13 @@
 type Entry struct {
 	// Result is set before Done is closed. Its answer is dropped after answerRetention.
 	Result carrier.Result
-	Done   chan struct{}
+	// UpstreamTime is the time that the call took at the upstream, set with Result.
+	UpstreamTime time.Duration
+	Done         chan struct{}
 	// Cancel cancels the execution; nil for an attempt that was revoked before its
 	// message arrived.
 	Cancel func()
 
-	revoked  bool
 	finished time.Time
 	id       AttemptID
 }
@@ -72,7 +73,7 @@
 	f.expire(now)
 	e, known := f.entries[id]
 	if !known {
-		e = &Entry{Done: make(chan struct{}), id: id, revoked: true}
+		e = &Entry{Done: make(chan struct{}), id: id}
 		f.entries[id] = e
 		f.Finish(e, carrier.Refuse(carrier.CallerGone), now)
 		return nil
@@ -80,7 +81,6 @@
 	if !e.finished.IsZero() {
 		return nil
 	}
-	e.revoked = true
 	return e
 }
 
--- a/internal/proxy/forwarder/forwarder.go
+++ b/internal/proxy/forwarder/forwarder.go
@@ -151,6 +151,7 @@
 		}
 		f.notifyUnresponsive(m.Address)
 		if sends > 1 && !pauser.Pause(ctx, resendDelay) {
+			go f.cancel(m.Address, id)
 			return RunReply{Result: cancelledResult(ctx, a.mayHaveArrived)}
 		}
 	}
@@ -159,19 +160,29 @@
 // send sends the attempt on the open connection, or on a new one, and waits for its
 // result.
 func (f *Forwarder) send(ctx context.Context, address string, a *attempt) (RunReply, error) {
-	var reply RunReply
 	p := f.peer(address)
 	l, err := p.connect(ctx)
 	if err != nil {
-		return reply, err
+		return RunReply{}, err
 	}
 	elapsed := time.Since(a.startedAt)
 	a.args.Job = a.job
 	a.args.Job.Remaining -= elapsed
 	a.args.Job.Objective -= elapsed
-	err = p.call(ctx, l, "Run", &a.args, &reply)
+	reply := &RunReply{}
+	err = p.call(ctx, l, "Run", &a.args, reply)
 	a.mayHaveArrived = a.mayHaveArrived || !errors.Is(err, errNotSent)
-	return reply, err
+	return replyOf(reply, err)
+}
+
+// replyOf returns the reply of a call that has succeeded. After an error it does not read
+// the reply, into which net/rpc may still be decoding.
+func replyOf[T any](reply *T, err error) (T, error) {
+	if err != nil {
+		var none T
+		return none, err
+	}
+	return *reply, nil
 }
 
 // lostReply returns the result of an attempt at a process that has exited or can't be
@@ -219,24 +230,22 @@
 
 // Announce sends the node's own record to the member at address and returns the member's.
 func (f *Forwarder) Announce(ctx context.Context, address string, own balancer.Member) (balancer.Member, error) {
-	var reply balancer.Member
-	err := f.Call(ctx, address, "Tell", &own, &reply)
-	return reply, err
+	reply := &balancer.Member{}
+	return replyOf(reply, f.Call(ctx, address, "Tell", &own, reply))
 }
 
 // Members returns the member records of the node at address.
 func (f *Forwarder) Members(ctx context.Context, address string) ([]balancer.Member, error) {
-	var members MemberList
-	err := f.Call(ctx, address, "Members", &Empty{}, &members)
-	return members, err
+	members := &MemberList{}
+	return replyOf(members, f.Call(ctx, address, "Members", &Empty{}, members))
 }
 
 // QueryDrainStart returns when an incarnation of an upstream began to drain, as recorded
 // by the node at address, in Unix milliseconds. It is 0 if that node has no record of it.
 func (f *Forwarder) QueryDrainStart(ctx context.Context, address string, args DrainStartArgs) (int64, error) {
-	var reply DrainStartReply
-	err := f.Call(ctx, address, "Left", &args, &reply)
-	return reply.DrainStart, err
+	reply := &DrainStartReply{}
+	received, err := replyOf(reply, f.Call(ctx, address, "Left", &args, reply))
+	return received.DrainStart, err
 }
 
 // Configuration requests a newer configuration from the node at address. The version
@@ -244,7 +253,6 @@
 func (f *Forwarder) Configuration(
 	ctx context.Context, address string, args ConfigurationArgs,
 ) (ConfigurationReply, error) {
-	var reply ConfigurationReply
-	err := f.Call(ctx, address, "Configuration", &args, &reply)
-	return reply, err
+	reply := &ConfigurationReply{}
+	return replyOf(reply, f.Call(ctx, address, "Configuration", &args, reply))
 }
--- a/internal/proxy/forwarder/messages.go
+++ b/internal/proxy/forwarder/messages.go
@@ -29,8 +29,7 @@
 // RunReply is the result of an attempt.
 type RunReply struct {
 	Result carrier.Result
-	// UpstreamTime is the time that the upstream took. It is 0 if the attempt did not run,
-	// and in the reply to a resend that found the attempt already begun.
+	// UpstreamTime is the time that the upstream took. It is 0 if the attempt did not run.
 	UpstreamTime time.Duration
 	Load         balancer.Load
 	// Version is the configuration version in force at the node.
--- a/internal/proxy/forwarder/peer.go
+++ b/internal/proxy/forwarder/peer.go
@@ -128,10 +128,14 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.connection == nil {
-		return nil, p.err
+	if p.connection != nil {
+		return p.connection, nil
+	}
+	if p.err == nil {
+		// Another call has closed the new connection already.
+		return nil, errNoConnection
 	}
-	return p.connection, nil
+	return nil, p.err
 }
 
 // markUnresponsive marks the peer as unresponsive if the dial of done is in progress.
--- a/internal/proxy/forwarder/receiver.go
+++ b/internal/proxy/forwarder/receiver.go
@@ -117,15 +117,15 @@
 	entry, isNew := r.fencer.Begin(args.AttemptID, cancel, time.Now())
 	r.mu.Unlock()
 	if isNew {
-		result, service := r.executor.Execute(ctx, args.Job)
-		reply.UpstreamTime = service
+		result, upstreamTime := r.executor.Execute(ctx, args.Job)
 		r.mu.Lock()
+		entry.UpstreamTime = upstreamTime
 		r.fencer.Finish(entry, result, time.Now())
 		r.mu.Unlock()
 	}
 	<-entry.Done
 	r.mu.Lock()
-	reply.Result = entry.Result
+	reply.Result, reply.UpstreamTime = entry.Result, entry.UpstreamTime
 	r.mu.Unlock()
 	reply.Load, reply.Version = r.node.Load(), r.node.Version()
 	return nil
--- a/internal/proxy/forwarder/receiver_test.go
+++ b/internal/proxy/forwarder/receiver_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"testing"
 	"time"
 
@@ -47,3 +49,31 @@
 		So(request(formerStart), ShouldResemble, ConfigurationReply{})
 	})
 }
+
+// A connection is opened for a call and closed by another one before the first call uses it.
+// The call must fail, not crash the process.
+func TestConnectionClosedBeforeItsUseIsAnError(t *testing.T) {
+	Convey("A call whose new connection was dropped gets an error", t, func() {
+		p := &peer{address: "a", onUnresponsive: func(string) {}}
+		p.dialFunc = func(context.Context, string) (net.Conn, error) {
+			near, _ := net.Pipe()
+			return near, nil
+		}
+		for range 200 {
+			done := make(chan struct{})
+			go func() {
+				p.close()
+				close(done)
+			}()
+			l, err := p.connect(context.Background())
+			So(l != nil || err != nil, ShouldBeTrue)
+			<-done
+			p.close()
+		}
+	})
+	Convey("The reply of a failed call is not read", t, func() {
+		received, err := replyOf(&RunReply{Version: 7}, errors.New("ended"))
+		So(err, ShouldNotBeNil)
+		So(received, ShouldResemble, RunReply{})
+	})
+}
--- a/internal/proxy/gater/gater.go
+++ b/internal/proxy/gater/gater.go
@@ -23,8 +23,8 @@
 	// adjustInterval that has passed.
 	decreaseFactor = 0.8
 	increaseStep   = 0.04
-	// minFraction is the minimum of the admitted fraction of the calls that lead to one
-	// service. It does not bound the fraction of calls that lead to several services.
+	// minFraction is the minimum of the admitted fraction of the calls that lead to a
+	// service.
 	minFraction = 0.25
 	// demandDecayTime is the time constant of the exponential decay of call counts.
 	demandDecayTime = 10 * time.Second
@@ -129,19 +129,27 @@
 type WaitFunc func(service string, rank int) time.Duration
 
 // Admit reports whether a call of the kind and rank may start. If not, it returns how
-// long the urgent calls wait at the service that lacks capacity.
+// long the urgent calls wait at the service that lacks most capacity. Of several such
+// services only that one limits the call: each limit on its own leaves its service enough.
 func (g *Gate) Admit(kind string, rank int, waitFor WaitFunc, now time.Time) (time.Duration, bool) {
+	var strictest *throttle
+	longest := time.Duration(0)
 	for service := range g.nested[kind] {
 		urgentRank, objective, known := g.mostUrgent(service)
 		if !known || urgentRank >= rank {
 			continue
 		}
 		wait := waitFor(service, urgentRank)
-		if !g.throttle(service, now).admit(wait, objective, now) {
-			return wait, false
+		t := g.throttle(service, now)
+		t.adjust(wait, objective, now)
+		if strictest == nil || t.fraction < strictest.fraction {
+			strictest, longest = t, wait
 		}
 	}
-	return 0, true
+	if strictest == nil || strictest.admit() {
+		return 0, true
+	}
+	return longest, false
 }
 
 // throttle returns the throttle of a service. A new one admits every call.
@@ -154,17 +162,22 @@
 	return t
 }
 
-// admit adjusts the fraction to the wait of the urgent calls, and reports whether one
-// more call fits it.
-func (t *throttle) admit(wait, objective time.Duration, now time.Time) bool {
-	if steps := int(now.Sub(t.adjustedAt) / adjustInterval); steps > 0 {
-		t.adjustedAt = now
-		if float64(wait) > maxWaitFraction*float64(objective) {
-			t.fraction = max(minFraction, decreaseFactor*t.fraction)
-		} else {
-			t.fraction = min(1, t.fraction+float64(steps)*increaseStep)
-		}
+// adjust adapts the fraction to the wait of the urgent calls.
+func (t *throttle) adjust(wait, objective time.Duration, now time.Time) {
+	steps := int(now.Sub(t.adjustedAt) / adjustInterval)
+	if steps <= 0 {
+		return
+	}
+	t.adjustedAt = now
+	if float64(wait) > maxWaitFraction*float64(objective) {
+		t.fraction = max(minFraction, decreaseFactor*t.fraction)
+		return
 	}
+	t.fraction = min(1, t.fraction+float64(steps)*increaseStep)
+}
+
+// admit reports whether one more call fits the fraction.
+func (t *throttle) admit() bool {
 	t.credit += t.fraction
 	if t.credit < 1 {
 		return false
--- a/internal/proxy/gater/gater_test.go
+++ b/internal/proxy/gater/gater_test.go
@@ -85,3 +85,28 @@
 		}
 	})
 }
+
+// Guards against limits that multiply: a call that leads to several services without
+// capacity was admitted only if it passed the limit of each.
+func TestLimitsOfSeveralServicesDoNotMultiply(t *testing.T) {
+	Convey("The minimum fraction is admitted however many services lack capacity", t, func() {
+		g, now := New(), time.Unix(1000, 0)
+		services := []string{"a", "b", "c"}
+		for _, service := range services {
+			g.RecordNested(bookings, service)
+		}
+		long := func(string, int) time.Duration { return time.Second }
+		admitted := 0
+		const calls = 4000
+		for range calls {
+			now = now.Add(10 * time.Millisecond)
+			for _, service := range services {
+				g.RecordCall(service, 0, 100*time.Millisecond, now)
+			}
+			if _, ok := g.Admit(bookings, 2, long, now); ok {
+				admitted++
+			}
+		}
+		So(float64(admitted)/calls, ShouldBeGreaterThanOrEqualTo, minFraction)
+	})
+}
--- a/internal/proxy/recognizer/recognizer.go
+++ b/internal/proxy/recognizer/recognizer.go
@@ -34,43 +34,43 @@
 // Recognizer keeps the recent refusals. It is not safe for concurrent use: its owner
 // must hold a lock.
 type Recognizer struct {
-	// first holds the time of the first request of each refused call.
-	first map[Key]time.Time
+	// latest holds the latest refusal of each refused call.
+	latest map[Key]refusal
 	// refusals is ordered by the time of refusal, the oldest first.
 	refusals []refusal
 }
 
 // New returns a Recognizer without refusals.
-func New() *Recognizer { return &Recognizer{first: map[Key]time.Time{}} }
+func New() *Recognizer { return &Recognizer{latest: map[Key]refusal{}} }
 
 // RecordRefusal records the refusal of a call whose first request was received at the
 // given time. It does nothing if the call is recorded already or the recognizer is full.
 func (r *Recognizer) RecordRefusal(key Key, first, now time.Time) {
 	r.expire(now)
-	if _, known := r.first[key]; known || len(r.refusals) >= maxRefusals {
+	if _, known := r.latest[key]; known || len(r.refusals) >= maxRefusals {
 		return
 	}
-	r.first[key] = first
-	r.refusals = append(r.refusals, refusal{key: key, first: first, at: now})
+	r.latest[key] = refusal{key: key, first: first, at: now}
+	r.refusals = append(r.refusals, r.latest[key])
 }
 
 // TakeFirstRequest returns when the first request of a call was received, and whether
 // the call was refused before. It removes the record, so each refusal is recognised once.
 func (r *Recognizer) TakeFirstRequest(key Key, now time.Time) (time.Time, bool) {
 	r.expire(now)
-	first, known := r.first[key]
-	delete(r.first, key)
-	return first, known
+	latest, known := r.latest[key]
+	delete(r.latest, key)
+	return latest.first, known
 }
 
 // expire removes the refusals that are older than the retention. It keeps the record of a
-// key that now belongs to a later call with another first request.
+// call that was recognised and refused again meanwhile.
 func (r *Recognizer) expire(now time.Time) {
 	expired := 0
 	for expired < len(r.refusals) && now.Sub(r.refusals[expired].at) > retention {
 		old := r.refusals[expired]
-		if r.first[old.key].Equal(old.first) {
-			delete(r.first, old.key)
+		if r.latest[old.key] == old {
+			delete(r.latest, old.key)
 		}
 		expired++
 	}
--- a/internal/proxy/recognizer/recognizer_test.go
+++ b/internal/proxy/recognizer/recognizer_test.go
@@ -32,13 +32,24 @@
 		_, known = r.TakeFirstRequest(key, now.Add(retention+time.Second))
 		So(known, ShouldBeFalse)
 	})
+	Convey("A call that is refused again is recognised until its newest refusal expires", t, func() {
+		r := New()
+		key := Key{Method: "GET", Host: "h", Target: "/1"}
+		again := now.Add(retention - time.Second)
+		r.RecordRefusal(key, now, now)
+		_, _ = r.TakeFirstRequest(key, again)
+		r.RecordRefusal(key, now, again)
+		first, known := r.TakeFirstRequest(key, now.Add(retention+time.Second))
+		So(known, ShouldBeTrue)
+		So(first, ShouldEqual, now)
+	})
 	Convey("The number of recorded refusals is bounded", t, func() {
 		r := New()
 		for i := range 3 * maxRefusals {
 			r.RecordRefusal(Key{Target: fmt.Sprint(i)}, now, now)
 		}
-		So(len(r.first), ShouldEqual, maxRefusals)
+		So(len(r.latest), ShouldEqual, maxRefusals)
 		r.RecordRefusal(Key{Target: "later"}, now, now.Add(2*retention))
-		So(len(r.first), ShouldEqual, 1)
+		So(len(r.latest), ShouldEqual, 1)
 	})
 }
