subscriber: a node that lost its watch does not wait for relays that did not serve it

While the store compacted, their watches got no answer and ended after 3 s (8.1 to 9.1 s). Each then waited 0.7 s and its turn of up to 2.5 s again, as if a relay could come back meanwhile: version 7, acknowledged at 7.76 s, was in force at 11.35 s on the first of them and at 11.48 to 11.57 s on the rest of the zone, which got it from peers. Calls of the zone reached nodes of other zones that had it all along.

Now such a node tries once more without waiting for its turn (3.8 s instead of 5.4 s between calls at position 12, test fails first), and a version that a reply shows to be in force elsewhere is requested from that node if nothing else has provided it within 0.6 s.

Ruled out: the decoding (all versions decoded), the peers polled one at a time (they were as far behind, or cut off).

--- a/internal/observe/reporter/reporter.go
+++ b/internal/observe/reporter/reporter.go
@@ -52,7 +52,7 @@
 	unknownKinds prometheus.Gauge
 	rejected     prometheus.Gauge
 
-	onVersion atomic.Pointer[func(int64)]
+	onVersion atomic.Pointer[func(int64, string)]
 
 	// mu protects the limiters.
 	mu            sync.Mutex
@@ -110,14 +110,14 @@
 }
 
 // OnVersion sets the function that ObserveVersion calls with the configuration versions of
-// other nodes.
-func (r *Reporter) OnVersion(onVersion func(int64)) { r.onVersion.Store(&onVersion) }
+// other nodes and their addresses.
+func (r *Reporter) OnVersion(onVersion func(int64, string)) { r.onVersion.Store(&onVersion) }
 
 // ObserveVersion implements dispatcher.Observer. It passes the version to the function
 // set by OnVersion.
-func (r *Reporter) ObserveVersion(version int64) {
+func (r *Reporter) ObserveVersion(version int64, address string) {
 	if onVersion := r.onVersion.Load(); onVersion != nil {
-		(*onVersion)(version)
+		(*onVersion)(version, address)
 	}
 }
 
--- a/internal/proxy/dispatcher/dispatcher.go
+++ b/internal/proxy/dispatcher/dispatcher.go
@@ -54,8 +54,8 @@
 	// Ended is called once for each call, after its outcome is known.
 	Ended(e Event)
 	// ObserveVersion is called with the configuration version in force at the node that
-	// replied to an attempt; 0 if it is unknown.
-	ObserveVersion(version int64)
+	// replied to an attempt, 0 if it is unknown, and the node's peer address.
+	ObserveVersion(version int64, address string)
 }
 
 // Event describes a call that has ended.
--- a/internal/proxy/dispatcher/placement.go
+++ b/internal/proxy/dispatcher/placement.go
@@ -204,7 +204,7 @@
 	}
 	outcome.Bytes = len(p.call.Body) + len(r.Answer.Body)
 	p.d.recordOutcome(a.candidate, outcome)
-	p.d.Observe.ObserveVersion(reply.Version)
+	p.d.Observe.ObserveVersion(reply.Version, a.member.Address)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.inFlight--
--- a/internal/proxy/subscriber/subscriber.go
+++ b/internal/proxy/subscriber/subscriber.go
@@ -130,6 +130,8 @@
 	relayReached [relayCount]atomic.Bool
 	// hinted receives a value when another node has a newer version.
 	hinted chan struct{}
+	// hints holds the hint to follow next.
+	hints chan hint
 
 	mu      sync.Mutex
 	history encoder.History
@@ -147,7 +149,7 @@
 
 // New returns a subscriber without a configuration.
 func New(config Config) *Subscriber {
-	return &Subscriber{config: config, hinted: make(chan struct{}, 1), changed: make(chan struct{})}
+	return &Subscriber{config: config, hinted: make(chan struct{}, 1), hints: make(chan hint, 1), changed: make(chan struct{})}
 }
 
 // Table returns the routing table in force, or nil if there is none.
@@ -161,9 +163,17 @@
 	return 0
 }
 
-// Hint records that another node has the given version. If that is newer than the
-// version in force, a watch that delivers no event within coalesceDelay is ended.
-func (s *Subscriber) Hint(version int64) {
+// hint is a newer version that another node has.
+type hint struct {
+	version int64
+	// address is the peer address of the node.
+	address string
+}
+
+// Hint records that the node at the address has the given version. If that is newer than
+// the version in force, a watch that delivers no event within coalesceDelay is ended, and
+// the version is requested from that node if nothing else has provided it by then.
+func (s *Subscriber) Hint(version int64, address string) {
 	if version <= s.Version() {
 		return
 	}
@@ -171,6 +181,37 @@
 	case s.hinted <- struct{}{}:
 	default:
 	}
+	select {
+	case s.hints <- hint{version: version, address: address}:
+	default:
+	}
+}
+
+// followHints requests hinted versions that arrive by no other way until the context ends.
+// Relays and store may fail for a node whose calls still reach nodes with a newer version.
+func (s *Subscriber) followHints(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case h := <-s.hints:
+			if !pauser.Pause(ctx, coalesceDelay) {
+				return
+			}
+			if h.version > s.Version() {
+				s.requestHinted(ctx, h)
+			}
+		}
+	}
+}
+
+// requestHinted requests the version of a hint from its node. Without a reply, the next hint
+// tries again.
+func (s *Subscriber) requestHinted(ctx context.Context, h hint) {
+	node := Relay{Address: h.address}
+	if reply, err := s.request(ctx, node, 0); err == nil {
+		s.applyReply(ctx, node, reply, "peer")
+	}
 }
 
 // Run keeps the configuration up to date until the context ends. It must be called once.
@@ -181,21 +222,26 @@
 		return
 	}
 	go s.pollPeers(ctx)
+	go s.followHints(ctx)
 	for i := range relayCount {
 		go s.pollRelay(ctx, i)
 	}
 	s.awaitRelays(ctx)
 	delay := time.Duration(0)
+	// lostWatch reports that the node followed the store until the last call failed. It then
+	// tries once more before it waits for the relays, which did not serve it before either.
+	lostWatch := false
 	for pauser.Pause(ctx, delay) {
 		delay = rolePollInterval
 		if !s.needsStore() {
 			s.setWatchingStore(false)
 			continue
 		}
-		if !pauser.Pause(ctx, s.takeoverDelay()) || !s.needsStore() {
+		if (!lostWatch && !pauser.Pause(ctx, s.takeoverDelay())) || !s.needsStore() {
 			continue
 		}
 		err := s.watchStore(ctx)
+		lostWatch = false
 		var lost *keeper.HistoryLostError
 		switch {
 		case ctx.Err() != nil:
@@ -205,7 +251,8 @@
 			delay = 0
 		case err != nil:
 			delay = storeRetryBackoff
-			if s.setWatchingStore(false) || s.Version() == 0 {
+			lostWatch = s.setWatchingStore(false)
+			if lostWatch || s.Version() == 0 {
 				s.config.Observe.StoreLost(err)
 			}
 		}
--- a/internal/proxy/subscriber/subscriber_test.go
+++ b/internal/proxy/subscriber/subscriber_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"fmt"
 	"strconv"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/tamarackscale/tamarackscale/internal/platform/keeper"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/forwarder"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/router"
 )
 
@@ -75,3 +80,103 @@
 		})
 	})
 }
+
+// Neither the relays nor the store give a node the newest version, but its calls reach a
+// node that has it.
+func TestHintedVersionIsRequestedFromItsNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("The node that has a newer version is asked for it once nothing else provided it", t, func() {
+			s := newRelease(9)
+			var requested []string
+			s.config.Request = func(_ context.Context, address string, _ forwarder.ConfigurationArgs) (forwarder.ConfigurationReply, error) {
+				requested = append(requested, address)
+				return forwarder.ConfigurationReply{}, errors.New("not in this test")
+			}
+			s.apply([]byte("3"), "relay")
+			ctx, cancel := context.WithCancel(context.Background())
+			go s.followHints(ctx)
+			s.Hint(3, "same")
+			s.Hint(5, "newer")
+			time.Sleep(coalesceDelay - time.Millisecond)
+			So(requested, ShouldBeEmpty)
+			time.Sleep(2 * time.Millisecond)
+			So(requested, ShouldResemble, []string{"newer"})
+
+			s.Hint(6, "overtaken")
+			s.apply([]byte("6"), "relay")
+			time.Sleep(2 * coalesceDelay)
+			So(requested, ShouldHaveLength, 1)
+			cancel()
+			synctest.Wait()
+		})
+	})
+}
+
+// hangingStore is a store whose watches, but for those that return at once, hang until the
+// call times out. It records the times of all calls.
+type hangingStore struct {
+	keeper.EventStore
+	down  bool
+	calls []time.Time
+}
+
+const hangingWatchTimeout = 3 * time.Second
+
+func (h *hangingStore) Read(context.Context, string) (keeper.Item, keeper.Revision, error) {
+	h.calls = append(h.calls, time.Now())
+	return keeper.Item{Value: []byte("1")}, 1, nil
+}
+
+func (h *hangingStore) Watch(ctx context.Context, _ string, after keeper.Revision, wait time.Duration) (keeper.Events, error) {
+	h.calls = append(h.calls, time.Now())
+	if wait == minWatchTimeout && !h.down {
+		return keeper.Events{Revision: after}, nil
+	}
+	pause, cancel := context.WithTimeout(ctx, hangingWatchTimeout)
+	defer cancel()
+	<-pause.Done()
+	return keeper.Events{}, errors.New("no response")
+}
+
+// The relays of a zone reply but receive no changes, and a node that is no relay follows the
+// store itself. After the loss of its watch it must try again at once: the relays did not
+// serve it before either. While the store stays down, it waits its turn between tries.
+func TestLostWatchIsReplacedWithoutWaitingForRelays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("A node at position 12 of its zone", t, func() {
+			s := newRelease(9)
+			store := &hangingStore{}
+			s.config.Store = store
+			s.config.Relays = func() []Relay {
+				var relays []Relay
+				for i := range 20 {
+					relays = append(relays, Relay{Address: fmt.Sprintf("node-%d", i)})
+				}
+				return relays
+			}
+			s.config.OwnAddress = "node-12"
+			s.config.Peers = func() []string { return nil }
+			s.config.Request = func(context.Context, string, forwarder.ConfigurationArgs) (forwarder.ConfigurationReply, error) {
+				return forwarder.ConfigurationReply{}, nil
+			}
+			discovered := make(chan struct{})
+			close(discovered)
+			s.config.Discovered = discovered
+			ctx, cancel := context.WithCancel(context.Background())
+			go s.Run(ctx)
+			time.Sleep(20 * time.Second)
+			for i := 2; i < len(store.calls)-1; i += 2 {
+				gap := store.calls[i].Sub(store.calls[i-1])
+				So(gap, ShouldBeLessThanOrEqualTo, hangingWatchTimeout+storeRetryBackoff+takeoverDelayStep)
+			}
+			Convey("waits for the relays between tries while the store stays down", func() {
+				store.down = true
+				time.Sleep(10 * time.Second)
+				n := len(store.calls)
+				So(store.calls[n-1].Sub(store.calls[n-2]), ShouldBeGreaterThan, hangingWatchTimeout+storeRetryBackoff+minTakeoverDelay)
+			})
+			cancel()
+			time.Sleep(time.Minute)
+		})
+	})
+}
