subscriber: a node does not read the store beside the relay that answers it

A node counted the reply of its relay as received before it had applied the version in it, and so found itself without a version and with no relay left to wait for. And a relay's reply could leave between the version coming into force and the relay counting as watching, and then said that it received no changes. Both orders are turned round.

--- a/internal/proxy/coder/coder_test.go
+++ b/internal/proxy/coder/coder_test.go
@@ -124,8 +124,11 @@
 		var hidden bytes.Buffer
 		So(newCodec(pipeOf(&hidden)).write("Counted.Run", 2, "", &carrier.Field{Name: "n"}), ShouldBeNil)
 		var outer bytes.Buffer
-		So(newCodec(pipeOf(&outer)).write("Counted.Run", 1, "", nil), ShouldBeNil)
-		go func() { _, _ = near.Write(append(outer.Bytes(), hidden.Bytes()...)) }()
+		So(newCodec(pipeOf(&outer)).write("Counted.Run", 1, "", &carrier.Field{}), ShouldBeNil)
+		// The empty field is an array of two empty texts; it becomes one of three elements.
+		const fieldBytes = 3
+		head := outer.Bytes()[:outer.Len()-fieldBytes]
+		go func() { _, _ = near.Write(append(append(head, 0x93), hidden.Bytes()...)) }()
 		<-done
 		So(counter.runs.Load(), ShouldEqual, 0)
 		So(near.Close(), ShouldBeNil)
--- a/internal/proxy/subscriber/relays.go
+++ b/internal/proxy/subscriber/relays.go
@@ -148,11 +148,13 @@
 		}
 		reply, err := s.requestFromRelay(ctx, relay)
 		s.relayReached[index].Store(err == nil)
-		s.setRelaySubscribed(index, err == nil && reply.Subscribed && reply.Start == relay.Start)
-		s.relayRequested[index].Store(true)
+		// The version is applied first: a node without one does not wait for its relays any
+		// more once it has their replies.
 		if err == nil {
 			s.applyReply(ctx, relay, reply, "relay")
 		}
+		s.setRelaySubscribed(index, err == nil && reply.Subscribed && reply.Start == relay.Start)
+		s.relayRequested[index].Store(true)
 		if (err != nil || !reply.Subscribed) && !pauser.Pause(ctx, peerPollInterval) {
 			return
 		}
--- a/internal/proxy/subscriber/store.go
+++ b/internal/proxy/subscriber/store.go
@@ -13,12 +13,16 @@
 // an error when a call fails or the context ends, and nil when a relay passes changes on
 // again.
 func (s *Subscriber) watchStore(ctx context.Context) error {
-	if err := s.catchUp(ctx); err != nil {
+	newest, err := s.catchUp(ctx)
+	if err != nil {
 		return err
 	}
+	// A reply with the version must state that this node receives changes. Otherwise the
+	// nodes that poll it would contact the store themselves.
 	if !s.setWatchingStore(true) {
 		s.config.Observe.StoreRegained()
 	}
+	s.applyEvents(newest)
 	for {
 		events, err := s.watch(ctx, s.knownRevision())
 		if err != nil {
@@ -34,29 +38,23 @@
 	}
 }
 
-// catchUp applies the store's version. A node with a known revision requests only the
-// events after it: if every node read the whole configuration when the store is back,
-// their links would be saturated.
-func (s *Subscriber) catchUp(ctx context.Context) error {
+// catchUp returns the store's version, as an event, if it may be newer than the one in
+// force. A node with a known revision requests only the events after it: if every node read
+// the whole configuration when the store is back, their links would be saturated.
+func (s *Subscriber) catchUp(ctx context.Context) (keeper.Events, error) {
 	if revision := s.knownRevision(); revision > 0 {
-		events, err := s.config.Store.Watch(ctx, s.config.Key, revision, minWatchTimeout)
-		if err == nil {
-			s.applyEvents(events)
-		}
-		return err
+		return s.config.Store.Watch(ctx, s.config.Key, revision, minWatchTimeout)
 	}
 	item, revision, err := s.config.Store.Read(ctx, s.config.Key)
 	var missing *keeper.NotFoundError
 	if errors.As(err, &missing) {
-		s.setKnownRevision(revision)
-		return nil
+		return keeper.Events{Revision: revision}, nil
 	}
 	if err != nil {
-		return err
+		return keeper.Events{}, err
 	}
-	s.apply(item.Value, storeSource)
-	s.setKnownRevision(revision)
-	return nil
+	item.Key = s.config.Key
+	return keeper.Events{List: []keeper.Event{{Item: item}}, Revision: revision}, nil
 }
 
 // minWatchTimeout is the timeout of a watch that returns only existing events.
