--- a/internal/proxy/assembler/fault_test.go
+++ b/internal/proxy/assembler/fault_test.go
@@ -92,6 +92,26 @@
 	})
 }
 
+// An idempotent call is sent on a kept connection that ends without an answer, and sent
+// again. That the upstream sheds the second send does not mean that the first has not run.
+func TestRefusalAfterLostSendIsNotReportedAsNotRun(t *testing.T) {
+	inMesh(t, []string{"x"}, func(m *mesh.Mesh) {
+		far := nodesOf(m, "a")[0]
+		So(m.Nodes[0].Call(http.MethodGet, host, readPrefix, "keeps", time.Second).Status, ShouldEqual, http.StatusOK)
+		far.Upstream.SetBehaviour(0, func(w http.ResponseWriter, r *http.Request) bool {
+			if far.Upstream.Runs(r.Header.Get("X-Request-Id")) == 1 {
+				return rawAnswer("", true)(w, r)
+			}
+			w.Header().Set("X-Not-Executed", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return true
+		})
+		a := m.Nodes[0].Call(http.MethodGet, host, readPrefix, "lost", time.Second)
+		So(far.Upstream.Runs("lost"), ShouldEqual, 2)
+		So(a.Status, ShouldEqual, http.StatusBadGateway)
+	})
+}
+
 // partition cuts the network between two hosts for a duration.
 func partition(m *mesh.Mesh, a, b string, d time.Duration) {
 	m.Network.Cut(func(from, to string) bool {
--- a/internal/proxy/executor/executor.go
+++ b/internal/proxy/executor/executor.go
@@ -317,7 +317,7 @@
 	sent := false
 	for range maxConnectionsTried {
 		result, stale := e.runOnce(ctx, job, deadline)
-		if sent && result.Outcome == carrier.NotRun && !result.Arrived {
+		if sent && result.Outcome == carrier.NotRun {
 			return carrier.Fail(result.Reason)
 		}
 		if !stale || !job.Idempotent || ctx.Err() != nil {
