--- a/internal/proxy/subscriber/subscriber_test.go
+++ b/internal/proxy/subscriber/subscriber_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strconv"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -87,8 +88,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		Convey("The node that has a newer version is asked for it once nothing else provided it", t, func() {
 			s := newRelease(9)
+			var mu sync.Mutex
 			var requested []string
 			s.config.Request = func(_ context.Context, address string, _ forwarder.ConfigurationArgs) (forwarder.ConfigurationReply, error) {
+				mu.Lock()
+				defer mu.Unlock()
 				requested = append(requested, address)
 				return forwarder.ConfigurationReply{}, errors.New("not in this test")
 			}
@@ -97,15 +101,20 @@
 			go s.followHints(ctx)
 			s.Hint(3, "same")
 			s.Hint(5, "newer")
+			asked := func() []string {
+				mu.Lock()
+				defer mu.Unlock()
+				return append([]string{}, requested...)
+			}
 			time.Sleep(coalesceDelay - time.Millisecond)
-			So(requested, ShouldBeEmpty)
+			So(asked(), ShouldBeEmpty)
 			time.Sleep(2 * time.Millisecond)
-			So(requested, ShouldResemble, []string{"newer"})
+			So(asked(), ShouldResemble, []string{"newer"})
 
 			s.Hint(6, "overtaken")
 			s.apply([]byte("6"), "relay")
 			time.Sleep(2 * coalesceDelay)
-			So(requested, ShouldHaveLength, 1)
+			So(asked(), ShouldHaveLength, 1)
 			cancel()
 			synctest.Wait()
 		})
@@ -116,20 +125,42 @@
 // call times out. It records the times of all calls.
 type hangingStore struct {
 	keeper.EventStore
+
+	mu    sync.Mutex
 	down  bool
 	calls []time.Time
 }
 
+// call records a call and reports whether the store is down.
+func (h *hangingStore) call() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.calls = append(h.calls, time.Now())
+	return h.down
+}
+
+func (h *hangingStore) setDown() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.down = true
+}
+
+// times returns the times of the calls so far.
+func (h *hangingStore) times() []time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]time.Time(nil), h.calls...)
+}
+
 const hangingWatchTimeout = 3 * time.Second
 
 func (h *hangingStore) Read(context.Context, string) (keeper.Item, keeper.Revision, error) {
-	h.calls = append(h.calls, time.Now())
+	h.call()
 	return keeper.Item{Value: []byte("1")}, 1, nil
 }
 
 func (h *hangingStore) Watch(ctx context.Context, _ string, after keeper.Revision, wait time.Duration) (keeper.Events, error) {
-	h.calls = append(h.calls, time.Now())
-	if wait == minWatchTimeout && !h.down {
+	if down := h.call(); wait == minWatchTimeout && !down {
 		return keeper.Events{Revision: after}, nil
 	}
 	pause, cancel := context.WithTimeout(ctx, hangingWatchTimeout)
@@ -165,15 +196,17 @@
 			ctx, cancel := context.WithCancel(context.Background())
 			go s.Run(ctx)
 			time.Sleep(20 * time.Second)
-			for i := 2; i < len(store.calls)-1; i += 2 {
-				gap := store.calls[i].Sub(store.calls[i-1])
+			calls := store.times()
+			for i := 2; i < len(calls)-1; i += 2 {
+				gap := calls[i].Sub(calls[i-1])
 				So(gap, ShouldBeLessThanOrEqualTo, hangingWatchTimeout+storeRetryBackoff+takeoverDelayStep)
 			}
 			Convey("waits for the relays between tries while the store stays down", func() {
-				store.down = true
+				store.setDown()
 				time.Sleep(10 * time.Second)
-				n := len(store.calls)
-				So(store.calls[n-1].Sub(store.calls[n-2]), ShouldBeGreaterThan, hangingWatchTimeout+storeRetryBackoff+minTakeoverDelay)
+				calls := store.times()
+				n := len(calls)
+				So(calls[n-1].Sub(calls[n-2]), ShouldBeGreaterThan, hangingWatchTimeout+storeRetryBackoff+minTakeoverDelay)
 			})
 			cancel()
 			time.Sleep(time.Minute)
