limiter: one bounded reader for callers and upstreams; tests that were missing

The bounded readers of acceptor and executor were the same type written twice (duplicates); it is internal/kernel/limiter now. No behaviour changes.

Not shown by a test: that a context which ends between two sends cancels the attempt at the receiver, and that replies are not read while net/rpc decodes into them under the detector.

--- a/internal/proxy/acceptor/conn.go
+++ b/internal/proxy/acceptor/conn.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/tamarackscale/tamarackscale/internal/kernel/limiter"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
 )
 
@@ -53,7 +54,7 @@
 type conn struct {
 	acceptor *Acceptor
 	raw      net.Conn
-	limit    *limitedReader
+	limit    *limiter.Reader
 	// reader reads from limit.
 	reader *bufio.Reader
 	writer *bufio.Writer
@@ -78,27 +79,8 @@
 	closed bool
 }
 
-// limitedReader returns errReadLimit once the remaining number of bytes was read.
-type limitedReader struct {
-	io.Reader
-	remaining int64
-}
-
-// Read implements io.Reader.
-func (l *limitedReader) Read(b []byte) (int, error) {
-	if l.remaining <= 0 {
-		return 0, errReadLimit
-	}
-	if int64(len(b)) > l.remaining {
-		b = b[:l.remaining]
-	}
-	n, err := l.Reader.Read(b)
-	l.remaining -= int64(n)
-	return n, err
-}
-
 func newConn(acceptor *Acceptor, raw net.Conn) *conn {
-	limit := &limitedReader{Reader: raw}
+	limit := &limiter.Reader{Reader: raw, Exceeded: errReadLimit}
 	return &conn{
 		acceptor: acceptor, raw: raw, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes),
 		writer: bufio.NewWriterSize(raw, writeBufferBytes), pipelined: make(chan struct{}, maxPipelined),
@@ -181,7 +163,7 @@
 // requests are written.
 func (c *conn) readRequest(previous <-chan struct{}) (*http.Request, []byte, error) {
 	limits := c.acceptor.handler.Limits()
-	c.limit.remaining = int64(limits.MaxHeaderBytes) + readBufferBytes
+	c.limit.Remaining = int64(limits.MaxHeaderBytes) + readBufferBytes
 	c.setReadTimeout(limits.IdleTimeout)
 	for {
 		if _, err := c.reader.Peek(1); err != nil {
@@ -226,7 +208,7 @@
 			return nil, err
 		}
 	}
-	c.limit.remaining = maxChunkOverhead*limit + readBufferBytes
+	c.limit.Remaining = maxChunkOverhead*limit + readBufferBytes
 	c.setReadTimeout(bodyTimeout)
 	body, err := io.ReadAll(io.LimitReader(request.Body, limit+1))
 	if int64(len(body)) > limit {
@@ -410,7 +392,7 @@
 	<-previous
 	if !c.ended.Load() {
 		c.write(carrier.Call{Method: http.MethodGet}, Response{Refused: true, Status: r.status, Reason: r.reason}, true)
-		c.limit.remaining = lingerBytes
+		c.limit.Remaining = lingerBytes
 		c.discardInput()
 	}
 	_ = c.raw.Close()
@@ -420,7 +402,7 @@
 // and closes the connection. The read fails at the latest lingerTime after the last
 // response, or after lingerBytes of input.
 func (c *conn) lingerAndClose() {
-	c.limit.remaining = lingerBytes
+	c.limit.Remaining = lingerBytes
 	c.discardInput()
 	_ = c.raw.Close()
 }
--- a/internal/proxy/assembler/endless_test.go
+++ b/internal/proxy/assembler/endless_test.go
@@ -88,8 +88,9 @@
 	}
 }
 
-// After a whole answer, an upstream goes on sending bytes on the idle connection. They
-// belong to no call, so the connection must not be used for the next one.
+// After a whole answer, an upstream goes on sending bytes. They belong to no call, so the
+// connection must not be used for the next one. Bytes that come once the connection is idle
+// are covered by TestIdleConnectionWithInputIsNotReused.
 func TestBytesAfterAnswerReachNoCall(t *testing.T) {
 	inMesh(t, []string{"x"}, func(m *mesh.Mesh) {
 		far := nodesOf(m, "b")[0]
--- a/internal/proxy/assembler/fault_test.go
+++ b/internal/proxy/assembler/fault_test.go
@@ -83,6 +83,17 @@
 	})
 }
 
+// An interim answer with the call's ID precedes the final one, which is the caller's.
+func TestInterimAnswerIsSkipped(t *testing.T) {
+	inMesh(t, []string{"x"}, func(m *mesh.Mesh) {
+		text := "HTTP/1.1 103 Early Hints\r\nX-Request-Id: ID\r\n\r\n" + answerHead + "Content-Length: 5\r\n\r\nfinal"
+		nodesOf(m, "b")[0].Upstream.SetBehaviour(0, rawAnswer(text, false))
+		a := m.Nodes[0].Call(http.MethodPost, host, orderPrefix, "interim", 2*time.Second)
+		So(a.Status, ShouldEqual, http.StatusOK)
+		So(a.Body, ShouldEqual, "final")
+	})
+}
+
 func TestUnframedAnswerEndsWithConnection(t *testing.T) {
 	inMesh(t, []string{"x"}, func(m *mesh.Mesh) {
 		nodesOf(m, "b")[0].Upstream.SetBehaviour(0, rawAnswer(answerHead+"\r\nto the end", true))
--- a/internal/proxy/dispatcher/dispatcher_test.go
+++ b/internal/proxy/dispatcher/dispatcher_test.go
@@ -8,7 +8,10 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/tamarackscale/tamarackscale/internal/proxy/balancer"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/forwarder"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/retrier"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/router"
 )
 
@@ -93,3 +96,30 @@
 		So(retryAfter(wait, time.Second), ShouldEqual, wait.Wait)
 	})
 }
+
+// Guards against a queue that is too long being taken for a failing upstream.
+func TestDeadlineInQueueIsNoFailureOfUpstream(t *testing.T) {
+	Convey("Only a call that the upstream had may count as its failure", t, func() {
+		queued := outcomeOf(forwarder.RunReply{Result: carrier.Refuse(carrier.DeadlineExceeded)}, "k")
+		So(queued.Failed, ShouldBeFalse)
+		sent := outcomeOf(forwarder.RunReply{Result: carrier.Fail(carrier.DeadlineExceeded)}, "k")
+		So(sent.Failed, ShouldBeTrue)
+	})
+}
+
+// Guards against a retry budget that is spent on retries for which there is no node.
+func TestRetryWithoutNodeIsNotCharged(t *testing.T) {
+	Convey("The budget is left for a retry that has a node", t, func() {
+		d := New(Config{
+			Balancer: balancer.New("x"), Budget: retrier.Budget{Slack: 2, Window: 10 * time.Second},
+		})
+		info := balancer.PickInfo{Service: "s", Kind: "k", Objective: time.Second, Remaining: time.Second}
+		for range 10 {
+			none, _ := d.choose(info, true)
+			So(none, ShouldBeNil)
+		}
+		d.Balancer.Update(balancer.Member{Node: "n", Start: 1, Sequence: 1, Zone: "x", Service: "s", Instance: "i", Slots: 4})
+		c, _ := d.choose(info, true)
+		So(c, ShouldNotBeNil)
+	})
+}
--- a/internal/proxy/executor/exchange.go
+++ b/internal/proxy/executor/exchange.go
@@ -82,7 +82,7 @@
 // call arrives. It also reports whether the connection can be reused.
 func (e *Executor) receive(c *connection, request UpstreamRequest) (exchangeResult, bool) {
 	for range maxForeignAnswers {
-		c.wire.remaining = maxHeadBytes
+		c.wire.Remaining = maxHeadBytes
 		if _, err := c.reader.Peek(1); err != nil {
 			return exchangeResult{Result: carrier.Fail(carrier.AnswerBroken), stale: !c.fresh}, false
 		}
@@ -90,7 +90,7 @@
 		if err != nil {
 			return exchangeResult{Result: carrier.Fail(carrier.AnswerBroken)}, false
 		}
-		c.wire.remaining = maxWireBytes
+		c.wire.Remaining = maxWireBytes
 		body, err := e.memory.readAll(head.Body)
 		if err != nil {
 			// The connection ends with the answer; closing the body would read on.
--- a/internal/proxy/executor/limiter.go
+++ b/internal/proxy/executor/limiter.go
@@ -23,23 +23,6 @@
 // errAnswerTooLarge reports that an answer, or all answers together, exceeded a limit.
 var errAnswerTooLarge = errors.New("answer exceeds its size limit")
 
-// wireLimiter reads from a connection until the remaining number of bytes was read. It then
-// returns errAnswerTooLarge.
-type wireLimiter struct {
-	io.Reader
-	remaining int64
-}
-
-// Read implements io.Reader.
-func (w *wireLimiter) Read(b []byte) (int, error) {
-	if w.remaining <= 0 {
-		return 0, errAnswerTooLarge
-	}
-	n, err := w.Reader.Read(b[:min(int64(len(b)), w.remaining)])
-	w.remaining -= int64(n)
-	return n, err
-}
-
 // memoryLimiter bounds the bytes that all its readers together have read and not released.
 // It is safe for concurrent use.
 type memoryLimiter struct{ used atomic.Int64 }
--- a/internal/proxy/executor/limiter_test.go
+++ b/internal/proxy/executor/limiter_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"io"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -36,13 +35,3 @@
 		So(m.used.Load(), ShouldEqual, maxAnswersBytes)
 	})
 }
-
-func TestWireLimiterStopsAtLimit(t *testing.T) {
-	Convey("No byte beyond the limit is read from the connection", t, func() {
-		source := &endless{}
-		w := &wireLimiter{Reader: source, remaining: maxHeadBytes}
-		_, err := io.Copy(io.Discard, w)
-		So(err, ShouldEqual, errAnswerTooLarge)
-		So(source.read, ShouldEqual, maxHeadBytes)
-	})
-}
--- a/internal/proxy/executor/pool.go
+++ b/internal/proxy/executor/pool.go
@@ -7,6 +7,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/tamarackscale/tamarackscale/internal/kernel/limiter"
 )
 
 const (
@@ -29,7 +31,7 @@
 	net.Conn
 	// reader reads from wire.
 	reader *bufio.Reader
-	wire   *wireLimiter
+	wire   *limiter.Reader
 	writer *bufio.Writer
 	// idle is how long the connection may be idle and still be reused.
 	idle    time.Duration
@@ -90,7 +92,7 @@
 	if err != nil {
 		return nil, err
 	}
-	wire := &wireLimiter{Reader: conn}
+	wire := &limiter.Reader{Reader: conn, Exceeded: errAnswerTooLarge}
 	return &connection{
 		Conn: conn, reader: bufio.NewReaderSize(wire, bufferBytes), wire: wire, writer: bufio.NewWriterSize(conn, bufferBytes),
 		idle: defaultIdleTimeout, fresh: true,
--- a/internal/proxy/forwarder/receiver_test.go
+++ b/internal/proxy/forwarder/receiver_test.go
@@ -10,7 +10,9 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/tamarackscale/tamarackscale/internal/proxy/balancer"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/encoder"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/fencer"
 )
 
 // fakeNode has a configuration and reports that it receives changes.
@@ -77,3 +79,20 @@
 		So(received, ShouldResemble, RunReply{})
 	})
 }
+
+// A resend joins an execution. Its reply must state the time at the upstream, since a time
+// of 0 would enter the estimates of the sender.
+func TestJoinedExecutionReportsUpstreamTime(t *testing.T) {
+	Convey("The reply to a resend has the upstream time of the execution", t, func() {
+		const start = 20
+		r, err := NewReceiver(start, nil, fakeNode{})
+		So(err, ShouldBeNil)
+		id := fencer.AttemptID{Sender: 1, Number: 1}
+		entry, _ := r.fencer.Begin(id, func() {}, time.Now())
+		entry.UpstreamTime = 40 * time.Millisecond
+		r.fencer.Finish(entry, carrier.Result{Outcome: carrier.Run}, time.Now())
+		var reply RunReply
+		So((&methods{r}).Run(&RunArgs{AttemptID: id, Start: start}, &reply), ShouldBeNil)
+		So(reply.UpstreamTime, ShouldEqual, 40*time.Millisecond)
+	})
+}
