subscriber: a version comes into force together with its store revision

Cause (TestNodesServeSoonAfterFullRestart, 8 of 400 runs on a quiet machine; by the lines of the eight: the second node of a zone has the version from its relay at 9.057 s and reads the store at 9.107 s): apply notified the nodes that poll a relay before the revision was recorded. The reply left with revision 0, so that a node which then had to contact the store read the whole configuration instead of what changed since. Both happen in one step now.

The 5 reads seen once fit the same race in several nodes, which is not shown.

--- a/internal/proxy/subscriber/exchange.go
+++ b/internal/proxy/subscriber/exchange.go
@@ -48,8 +48,7 @@
 			return
 		}
 	}
-	s.apply(data, source)
-	s.setKnownRevision(keeper.Revision(reply.Revision))
+	s.apply(data, source, keeper.Revision(reply.Revision))
 }
 
 func (s *Subscriber) decode(m encoder.Message) ([]byte, error) {
--- a/internal/proxy/subscriber/store.go
+++ b/internal/proxy/subscriber/store.go
@@ -64,7 +64,7 @@
 func (s *Subscriber) applyEvents(events keeper.Events) {
 	for i := len(events.List) - 1; i >= 0; i-- {
 		if event := events.List[i]; event.Key == s.config.Key && !event.Deleted {
-			s.apply(event.Value, storeSource)
+			s.apply(event.Value, storeSource, events.Revision)
 			break
 		}
 	}
--- a/internal/proxy/subscriber/subscriber.go
+++ b/internal/proxy/subscriber/subscriber.go
@@ -287,11 +287,14 @@
 }
 
 // apply brings a configuration into force if it is newer than the one in force. The store's
-// value is rejected if it can't be decoded.
-func (s *Subscriber) apply(data []byte, source string) {
+// value is rejected if it can't be decoded. The revision up to which the configuration is the
+// newest becomes known in the same step: a node that got the version without it would read
+// the whole configuration from the store.
+func (s *Subscriber) apply(data []byte, source string, revision keeper.Revision) {
 	c, err := s.config.Decode(data)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.revision = revision
 	if source == storeSource {
 		s.setRejectedLocked(err != nil)
 	}
--- a/internal/proxy/subscriber/subscriber_test.go
+++ b/internal/proxy/subscriber/subscriber_test.go
@@ -55,13 +55,13 @@
 func TestRelayThatCannotDecodeNewestIsNotSubscribed(t *testing.T) {
 	Convey("A relay that rejects the store's version sends the others to the store", t, func() {
 		relay := newRelease(1)
-		relay.apply([]byte("1"), storeSource)
+		relay.apply([]byte("1"), storeSource, 0)
 		relay.setKnownRevision(10)
 		relay.setWatchingStore(true)
 		version, subscribed, revision := replyOf(relay, 0)
 		So([]any{version, subscribed, revision}, ShouldResemble, []any{int64(1), true, int64(10)})
 
-		relay.apply([]byte("2"), storeSource)
+		relay.apply([]byte("2"), storeSource, 0)
 		relay.setKnownRevision(11)
 		version, subscribed, revision = replyOf(relay, 0)
 		So([]any{version, subscribed, revision}, ShouldResemble, []any{int64(1), false, int64(0)})
@@ -74,7 +74,7 @@
 		})
 		Convey("until a later version can be decoded again", func() {
 			relay.config.Decode = newRelease(3).config.Decode
-			relay.apply([]byte("3"), storeSource)
+			relay.apply([]byte("3"), storeSource, 0)
 			relay.setKnownRevision(12)
 			version, subscribed, revision = replyOf(relay, 1)
 			So([]any{version, subscribed, revision}, ShouldResemble, []any{int64(3), true, int64(12)})
@@ -96,7 +96,7 @@
 				requested = append(requested, address)
 				return forwarder.ConfigurationReply{}, errors.New("not in this test")
 			}
-			s.apply([]byte("3"), "relay")
+			s.apply([]byte("3"), "relay", 0)
 			ctx, cancel := context.WithCancel(context.Background())
 			go s.followHints(ctx)
 			s.Hint(3, "same")
@@ -112,7 +112,7 @@
 			So(asked(), ShouldResemble, []string{"newer"})
 
 			s.Hint(6, "overtaken")
-			s.apply([]byte("6"), "relay")
+			s.apply([]byte("6"), "relay", 0)
 			time.Sleep(2 * coalesceDelay)
 			So(asked(), ShouldHaveLength, 1)
 			cancel()
@@ -213,3 +213,38 @@
 		})
 	})
 }
+
+// revisionObserver records the revision known when a version comes into force.
+type revisionObserver struct {
+	silent
+	subscriber *Subscriber
+	revision   keeper.Revision
+}
+
+// InForce is called with the subscriber's lock held.
+func (r *revisionObserver) InForce(router.Configuration, string) { r.revision = r.subscriber.revision }
+
+// A relay notifies the nodes that poll it when a version comes into force. A reply that left
+// without the revision would make them read the whole configuration from the store.
+func TestVersionComesIntoForceWithItsRevision(t *testing.T) {
+	Convey("The revision is known when the version comes into force", t, func() {
+		s := newRelease(9)
+		observer := &revisionObserver{subscriber: s}
+		s.config.Observe = observer
+		event := keeper.Event{Item: keeper.Item{Key: s.config.Key, Value: []byte("3")}}
+		s.applyEvents(keeper.Events{List: []keeper.Event{event}, Revision: 12})
+		So(observer.revision, ShouldEqual, 12)
+		s.applyReply(context.Background(), Relay{}, replyWith(s, "4", 15), "relay")
+		So(observer.revision, ShouldEqual, 15)
+	})
+}
+
+// replyWith returns the reply of a relay that has the configuration at a revision.
+func replyWith(s *Subscriber, configuration string, revision int64) forwarder.ConfigurationReply {
+	relay := newRelease(9)
+	relay.apply([]byte(configuration), storeSource, keeper.Revision(revision))
+	relay.setWatchingStore(true)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return relay.Next(ctx, s.Version())
+}
