acceptor, reporter: calls that were read and got no response are counted and logged

Nothing told an operator of the three hypotheses of docs/incidents/lost-at-planned-stop.md which one it was: a node whose connection ended under a call that it had read left no line. Now the line callUnanswered and tamarackscale_unanswered_calls_total have the cause: closed as idle while being read, sent behind the last response, an earlier write had failed, the write failed. No logic changed.

--- a/internal/observe/reporter/reporter.go
+++ b/internal/observe/reporter/reporter.go
@@ -16,6 +16,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/sirupsen/logrus"
 
+	"github.com/tamarackscale/tamarackscale/internal/proxy/acceptor"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/balancer"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/dispatcher"
@@ -47,6 +48,7 @@
 	queueTime    *prometheus.HistogramVec
 	endedCalls   *prometheus.CounterVec
 	attempts     *prometheus.CounterVec
+	unanswered   *prometheus.CounterVec
 	storeCalls   *prometheus.CounterVec
 	version      prometheus.Gauge
 	unknownKinds prometheus.Gauge
@@ -82,12 +84,13 @@
 	r.queueTime = histogram("tamarackscale_queue_seconds", "Time of a hand-over in queues and between nodes.", "service")
 	r.endedCalls = counter("tamarackscale_calls_total", "Calls by how they ended.", "service", "status", "reason")
 	r.attempts = counter("tamarackscale_hand_overs_total", "Hand-overs by how they ended.", "service", "outcome", "reason")
+	r.unanswered = counter("tamarackscale_unanswered_calls_total", "Calls that were read and got no response, by cause.", "cause")
 	r.storeCalls = counter("tamarackscale_store_calls_total", "Calls to the platform's store.", "operation", "result")
 	r.version = gauge("tamarackscale_configuration_version", "Configuration version in force.")
 	r.unknownKinds = gauge("tamarackscale_configuration_unknown_kinds", "Routes in force of a kind that this release does not know.")
 	r.rejected = gauge("tamarackscale_configuration_rejected", "1 if the store's newest configuration can't be decoded, else 0.")
 	r.registry.MustRegister(
-		r.callTime, r.upstreamTime, r.queueTime, r.endedCalls, r.attempts, r.storeCalls, r.version, r.unknownKinds, r.rejected,
+		r.callTime, r.upstreamTime, r.queueTime, r.endedCalls, r.attempts, r.unanswered, r.storeCalls, r.version, r.unknownKinds, r.rejected,
 	)
 	return r
 }
@@ -144,6 +147,18 @@
 	}).Info("call ended")
 }
 
+// Unanswered implements acceptor.Observer. It counts and logs a call that was read and whose
+// response was not written, subject to the rate limit of calls.
+func (r *Reporter) Unanswered(call carrier.Call, cause acceptor.Cause) {
+	r.unanswered.WithLabelValues(string(cause)).Inc()
+	if !r.allow(r.callLimiter, callsSuppressedEvent, string(cause)) {
+		return
+	}
+	r.log.WithFields(logrus.Fields{
+		"event": "callUnanswered", "request": call.ID, "cause": string(cause),
+	}).Warn("call was read and got no response")
+}
+
 // attemptRecord is the log record of an attempt. Times are in milliseconds.
 type attemptRecord struct {
 	Node     string `json:"node"`
--- a/internal/proxy/acceptor/acceptor.go
+++ b/internal/proxy/acceptor/acceptor.go
@@ -49,10 +49,32 @@
 	EncodeRefusal(w *bufio.Writer, call carrier.Call, status int, reason string, retryAfter time.Duration, last bool) error
 }
 
+// Cause is why a call that was read, or was being read, got no response.
+type Cause string
+
+// The causes of unanswered calls.
+const (
+	// ClosedIdle is that the connection was closed as idle while the call was being read.
+	ClosedIdle Cause = "closedIdle"
+	// BehindLast is that the call was sent behind one whose response ends the connection.
+	BehindLast Cause = "behindLast"
+	// ConnectionEnded is that writing an earlier response on the connection had failed.
+	ConnectionEnded Cause = "connectionEnded"
+	// WriteFailed is that writing the response failed, mostly because the caller has left.
+	WriteFailed Cause = "writeFailed"
+)
+
+// Observer is notified of calls that got no response. The call is empty if it was not read
+// completely.
+type Observer interface {
+	Unanswered(call carrier.Call, cause Cause)
+}
+
 // Acceptor serves the connections of callers. It is safe for concurrent use.
 type Acceptor struct {
 	dialect Dialect
 	handler Handler
+	observe Observer
 
 	inFlight atomic.Int64
 	stopping atomic.Bool
@@ -61,8 +83,8 @@
 }
 
 // New returns an acceptor. Serve must be called with a listener.
-func New(dialect Dialect, handler Handler) *Acceptor {
-	return &Acceptor{dialect: dialect, handler: handler, conns: map[*conn]struct{}{}}
+func New(dialect Dialect, handler Handler, observe Observer) *Acceptor {
+	return &Acceptor{dialect: dialect, handler: handler, observe: observe, conns: map[*conn]struct{}{}}
 }
 
 // Serve accepts connections until the listener is closed or fails.
--- a/internal/proxy/acceptor/conn.go
+++ b/internal/proxy/acceptor/conn.go
@@ -99,6 +99,7 @@
 	for {
 		request, body, err := c.readRequest(previous)
 		if err == nil && c.ended.Load() {
+			c.acceptor.observe.Unanswered(c.acceptor.dialect.DecodeCall(request, body), BehindLast)
 			err = net.ErrClosed
 		}
 		if err != nil {
@@ -177,6 +178,7 @@
 		break
 	}
 	if !c.beginRead() {
+		c.acceptor.observe.Unanswered(carrier.Call{}, ClosedIdle)
 		return nil, nil, net.ErrClosed
 	}
 	c.setReadTimeout(limits.HeaderTimeout)
@@ -334,7 +336,9 @@
 	<-t.previous
 	// A connection ends only after the response to the last call that was read from it.
 	last := t.last || (c.acceptor.stopping.Load() && c.pending.Load() == 1)
-	if !c.ended.Load() {
+	if c.ended.Load() {
+		c.acceptor.observe.Unanswered(t.call, ConnectionEnded)
+	} else {
 		c.write(t.call, response, last)
 	}
 	c.pending.Add(-1)
@@ -364,6 +368,7 @@
 	if err != nil {
 		c.ended.Store(true)
 		_ = c.raw.Close()
+		c.acceptor.observe.Unanswered(call, WriteFailed)
 		return
 	}
 	if last {
--- a/internal/proxy/acceptor/conn_test.go
+++ b/internal/proxy/acceptor/conn_test.go
@@ -33,6 +33,11 @@
 	return router.Limits{MaxHeaderBytes: 4 << 10, MaxBodyBytes: 10, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
 }
 
+// silent is an Observer that does nothing.
+type silent struct{}
+
+func (silent) Unanswered(carrier.Call, acceptor.Cause) {}
+
 // singleListener accepts one connection.
 type singleListener struct{ conns chan net.Conn }
 
@@ -70,7 +75,7 @@
 			l := singleListener{conns: make(chan net.Conn, 1)}
 			l.conns <- far
 			close(l.conns)
-			a := acceptor.New(platform.HTTP{}, handler)
+			a := acceptor.New(platform.HTTP{}, handler, silent{})
 			go a.Serve(l)
 			run(a, &caller{Conn: near, reader: bufio.NewReader(near)})
 			So(near.Close(), ShouldBeNil)
--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -111,7 +111,7 @@
 			Ratio: p.bounds.RetryRatio, Slack: p.bounds.RetrySlack, Window: p.bounds.RetryWindow.Std(),
 		},
 	})
-	p.acceptor = acceptor.New(platform.HTTP{}, p.dispatcher)
+	p.acceptor = acceptor.New(platform.HTTP{}, p.dispatcher, p.telemetry)
 	p.telemetry.OnVersion(p.subscriber.Hint)
 	p.forwarder.OnUnresponsive(func(address string) {
 		p.dispatcher.WithBalancer(func(b *balancer.Balancer) { b.Suspect(address, time.Now()) })
