acceptor: only the reading goroutine closes an idle connection

Callers saw, at a planned stop, a connection closed without an answer after a whole request had been read from it (LOST).

Now CloseIdle only sets a read deadline that has passed. A read that has received data returns it all the same, and a goroutine that has read nothing closes the connection itself, so no order of events drops what was read. What a connection owes is in one place (state.go), under one lock.

--- a/internal/proxy/acceptor/acceptor.go
+++ b/internal/proxy/acceptor/acceptor.go
@@ -49,13 +49,11 @@
 	EncodeRefusal(w *bufio.Writer, call carrier.Call, status int, reason string, retryAfter time.Duration, last bool) error
 }
 
-// Cause is why a call that was read, or was being read, got no response.
+// Cause is why a call that was read got no response.
 type Cause string
 
 // The causes of unanswered calls.
 const (
-	// ClosedIdle is that the connection was closed as idle while the call was being read.
-	ClosedIdle Cause = "closedIdle"
 	// BehindLast is that the call was sent behind one whose response ends the connection.
 	BehindLast Cause = "behindLast"
 	// ConnectionEnded is that writing an earlier response on the connection had failed.
@@ -64,8 +62,7 @@
 	WriteFailed Cause = "writeFailed"
 )
 
-// Observer is notified of calls that got no response. The call is empty if it was not read
-// completely.
+// Observer is notified of calls that were read and got no response.
 type Observer interface {
 	Unanswered(call carrier.Call, cause Cause)
 }
@@ -116,7 +113,8 @@
 // after the response to the last call that was read from it.
 func (a *Acceptor) Stop() { a.stopping.Store(true) }
 
-// CloseIdle closes the connections on which no call is in flight or being read.
+// CloseIdle closes the connections on which no call is in flight or being read. Others are
+// closed when that is the case.
 func (a *Acceptor) CloseIdle() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/proxy/acceptor/conn.go
+++ b/internal/proxy/acceptor/conn.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -58,11 +57,6 @@
 	// reader reads from limit.
 	reader *bufio.Reader
 	writer *bufio.Writer
-	// pending is the number of calls whose response is not written yet.
-	pending atomic.Int64
-	// ended is set when the last response was written or the writing of one failed. No
-	// response is written after that.
-	ended atomic.Bool
 	// pipelined limits the calls in flight; it holds one element for each.
 	pipelined chan struct{}
 	// work passes calls to the worker.
@@ -70,13 +64,9 @@
 	// hasWorker is set once a goroutine has become the worker.
 	hasWorker atomic.Bool
 
-	// mu guards reading and closed.
-	mu sync.Mutex
-	// reading is set from the first byte of a request until the request is pending. Such a
-	// connection is not idle: its caller would lose a request that the node has read.
-	reading bool
-	// closed is set when the connection was closed as idle.
-	closed bool
+	// state tells whether the connection may be closed. Only the goroutine that reads requests
+	// closes an idle connection, since it alone knows whether it has read anything.
+	state state
 }
 
 func newConn(acceptor *Acceptor, raw net.Conn) *conn {
@@ -84,7 +74,7 @@
 	return &conn{
 		acceptor: acceptor, raw: raw, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes),
 		writer: bufio.NewWriterSize(raw, writeBufferBytes), pipelined: make(chan struct{}, maxPipelined),
-		work: make(chan task),
+		work: make(chan task), state: state{lastResponse: time.Now()},
 	}
 }
 
@@ -98,23 +88,21 @@
 	close(previous)
 	for {
 		request, body, err := c.readRequest(previous)
-		if err == nil && c.ended.Load() {
-			c.acceptor.observe.Unanswered(c.acceptor.dialect.DecodeCall(request, body), BehindLast)
-			err = net.ErrClosed
-		}
 		if err != nil {
 			c.finish(err, previous)
-			c.endRead()
+			c.abandonRead()
 			cancel()
 			return
 		}
 		received := time.Now()
 		call := c.acceptor.dialect.DecodeCall(request, body)
 		c.pipelined <- struct{}{}
+		if !c.state.accept() {
+			c.drop(call, previous)
+			cancel()
+			return
+		}
 		written := make(chan struct{})
-		c.pending.Add(1)
-		c.acceptor.inFlight.Add(1)
-		c.endRead()
 		c.startTask(ctx, task{call: call, received: received, last: request.Close, previous: previous, written: written})
 		previous = written
 		if request.Close {
@@ -125,38 +113,43 @@
 	}
 }
 
-// beginRead records that a request is being read. It returns false if the connection was
-// closed as idle.
-func (c *conn) beginRead() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closed {
-		return false
+// abandonRead records that the reading of a request has failed.
+func (c *conn) abandonRead() {
+	if c.state.abandon() {
+		c.acceptor.inFlight.Add(-1)
 	}
-	c.reading = true
-	c.acceptor.inFlight.Add(1)
-	return true
 }
 
-// endRead records that the request is pending, or that reading it has failed.
-func (c *conn) endRead() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.reading {
-		c.reading = false
-		c.acceptor.inFlight.Add(-1)
-	}
+// drop ends the connection after a request behind the last response, which the caller sends
+// again elsewhere. Previous is closed when that response is written.
+func (c *conn) drop(call carrier.Call, previous <-chan struct{}) {
+	c.acceptor.observe.Unanswered(call, BehindLast)
+	<-previous
+	c.lingerAndClose()
+	c.abandonRead()
 }
 
-// closeIfIdle closes the connection if no request is pending or being read.
+// closeIfIdle makes the reading goroutine close the connection, unless it has begun to read
+// a request or a call is pending.
 func (c *conn) closeIfIdle() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.reading || c.pending.Load() > 0 {
-		return
+	c.state.retire(c.raw)
+}
+
+// awaitRequest waits for the first byte of the next request. It returns an error when the
+// connection has been idle for too long, is retired or has failed.
+func (c *conn) awaitRequest(idleTimeout time.Duration) error {
+	for {
+		c.state.arm(c.raw, idleTimeout)
+		_, err := c.reader.Peek(1)
+		switch {
+		case err == nil:
+			c.acceptor.inFlight.Add(1)
+			c.state.beginRead()
+			return nil
+		case !isTimeout(err) || c.state.expired():
+			return err
+		}
 	}
-	c.closed = true
-	_ = c.raw.Close()
 }
 
 // readRequest reads one request with its body. A request that is invalid or exceeds a
@@ -165,21 +158,8 @@
 func (c *conn) readRequest(previous <-chan struct{}) (*http.Request, []byte, error) {
 	limits := c.acceptor.handler.Limits()
 	c.limit.Remaining = int64(limits.MaxHeaderBytes) + readBufferBytes
-	c.setReadTimeout(limits.IdleTimeout)
-	for {
-		if _, err := c.reader.Peek(1); err != nil {
-			if c.pending.Load() > 0 && isTimeout(err) {
-				// A caller that waits for responses is not idle.
-				c.setReadTimeout(limits.IdleTimeout)
-				continue
-			}
-			return nil, nil, err
-		}
-		break
-	}
-	if !c.beginRead() {
-		c.acceptor.observe.Unanswered(carrier.Call{}, ClosedIdle)
-		return nil, nil, net.ErrClosed
+	if err := c.awaitRequest(limits.IdleTimeout); err != nil {
+		return nil, nil, err
 	}
 	c.setReadTimeout(limits.HeaderTimeout)
 	request, err := http.ReadRequest(c.reader)
@@ -231,11 +211,7 @@
 
 // setReadTimeout sets the read deadline to d from now; no deadline if d is not positive.
 func (c *conn) setReadTimeout(d time.Duration) {
-	at := time.Time{}
-	if d > 0 {
-		at = time.Now().Add(d)
-	}
-	_ = c.raw.SetReadDeadline(at)
+	_ = c.raw.SetReadDeadline(deadline(time.Now(), d))
 }
 
 // rejection is the error for a request that is invalid or exceeds a limit. It is
@@ -334,14 +310,12 @@
 		response = c.acceptor.handler.Handle(ctx, t.call, t.received)
 	}
 	<-t.previous
-	// A connection ends only after the response to the last call that was read from it.
-	last := t.last || (c.acceptor.stopping.Load() && c.pending.Load() == 1)
-	if c.ended.Load() {
-		c.acceptor.observe.Unanswered(t.call, ConnectionEnded)
-	} else {
+	if last, open := c.state.beginResponse(t.last, c.acceptor.stopping.Load()); open {
 		c.write(t.call, response, last)
+	} else {
+		c.acceptor.observe.Unanswered(t.call, ConnectionEnded)
 	}
-	c.pending.Add(-1)
+	c.state.settle(c.raw)
 	c.acceptor.inFlight.Add(-1)
 	<-c.pipelined
 	close(t.written)
@@ -366,13 +340,12 @@
 		err = c.acceptor.dialect.EncodeAnswer(c.writer, call, r.Answer, last)
 	}
 	if err != nil {
-		c.ended.Store(true)
+		c.state.end()
 		_ = c.raw.Close()
 		c.acceptor.observe.Unanswered(call, WriteFailed)
 		return
 	}
 	if last {
-		c.ended.Store(true)
 		c.closeWrite()
 	}
 }
@@ -383,31 +356,28 @@
 	if tcp, ok := c.raw.(*net.TCPConn); ok {
 		_ = tcp.CloseWrite()
 	}
-	c.setReadTimeout(lingerTime)
 }
 
 // finish closes the connection after a read error. A *rejection is first written as a
 // response, after the responses to the previous calls.
 func (c *conn) finish(err error, previous chan struct{}) {
 	var r *rejection
-	if !errors.As(err, &r) || c.ended.Load() {
+	if !errors.As(err, &r) {
 		_ = c.raw.Close()
 		return
 	}
 	<-previous
-	if !c.ended.Load() {
+	if _, open := c.state.beginResponse(true, false); open {
 		c.write(carrier.Call{Method: http.MethodGet}, Response{Refused: true, Status: r.status, Reason: r.reason}, true)
-		c.limit.Remaining = lingerBytes
-		c.discardInput()
 	}
-	_ = c.raw.Close()
+	c.lingerAndClose()
 }
 
-// lingerAndClose discards input after the caller's last request until the read fails,
-// and closes the connection. The read fails at the latest lingerTime after the last
-// response, or after lingerBytes of input.
+// lingerAndClose discards input behind the last request until lingerTime after the last
+// response, at most lingerBytes, and closes the connection.
 func (c *conn) lingerAndClose() {
 	c.limit.Remaining = lingerBytes
+	c.state.linger(c.raw)
 	c.discardInput()
 	_ = c.raw.Close()
 }
--- a/internal/proxy/acceptor/conn_test.go
+++ b/internal/proxy/acceptor/conn_test.go
@@ -171,3 +171,66 @@
 		})
 	}
 }
+
+// dialectHook is HTTP with a hook that runs when a request was read and is being decoded.
+type dialectHook struct {
+	platform.HTTP
+	decoding func()
+}
+
+func (d dialectHook) DecodeCall(r *http.Request, body []byte) carrier.Call {
+	d.decoding()
+	return d.HTTP.DecodeCall(r, body)
+}
+
+// readHook is a connection with a hook that runs when bytes were read, before the reader
+// has them.
+type readHook struct {
+	net.Conn
+	read func()
+}
+
+func (h readHook) Read(b []byte) (int, error) {
+	n, err := h.Conn.Read(b)
+	if n > 0 {
+		h.read()
+	}
+	return n, err
+}
+
+// A stopping node closed connections as idle although a request had been read from them and
+// was being passed on. The call was cancelled at another node, and its caller got nothing.
+func TestStopClosesNoConnectionWhoseRequestWasRead(t *testing.T) {
+	moments := map[string]func(stop func()) (acceptor.Dialect, func(net.Conn) net.Conn){
+		"between the read and its record": func(stop func()) (acceptor.Dialect, func(net.Conn) net.Conn) {
+			return platform.HTTP{}, func(c net.Conn) net.Conn { return readHook{c, stop} }
+		},
+		"while the request is decoded": func(stop func()) (acceptor.Dialect, func(net.Conn) net.Conn) {
+			return dialectHook{decoding: stop}, func(c net.Conn) net.Conn { return c }
+		},
+	}
+	for name, at := range moments {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				Convey("the caller gets the answer", t, func() {
+					var a *acceptor.Acceptor
+					dialect, wrap := at(func() { a.CloseIdle() })
+					near, far := net.Pipe()
+					l := singleListener{conns: make(chan net.Conn, 1)}
+					l.conns <- wrap(far)
+					close(l.conns)
+					a = acceptor.New(dialect, slowHandler{time: time.Second}, silent{})
+					go a.Serve(l)
+					c := &caller{Conn: near, reader: bufio.NewReader(near)}
+					send(c, "GET /one HTTP/1.1\r\nHost: h\r\n\r\n")
+					_, body, err := c.receive()
+					So(err, ShouldBeNil)
+					So(body, ShouldEqual, "/one")
+					So(near.Close(), ShouldBeNil)
+					a.Close()
+					time.Sleep(time.Minute)
+				})
+			})
+		})
+	}
+}
