acceptor: the last response waits for a request that is being read

A stopping node ended a connection with the response to its only pending call although the next, pipelined request was being read; that request was dropped, and its caller had to send it again elsewhere.

TestLastResponseWaitsForRequestBeingRead before: response.Close expected false, actual true; then no answer to the second request. Now the first response does not end the connection, and the second request gets its refusal.

--- a/internal/proxy/acceptor/conn_test.go
+++ b/internal/proxy/acceptor/conn_test.go
@@ -234,3 +234,23 @@
 		})
 	}
 }
+
+// A stopping node answered a call with the last response of a connection while the next
+// request was being read from it. That request was dropped.
+func TestLastResponseWaitsForRequestBeingRead(t *testing.T) {
+	withCaller(t, slowHandler{time: time.Second}, func(a *acceptor.Acceptor, c *caller) {
+		send(c, "GET /one HTTP/1.1\r\nHost: h\r\n\r\nPOST /two HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbo")
+		synctest.Wait()
+		a.Stop()
+		a.CloseIdle()
+		response, body, err := c.receive()
+		So(err, ShouldBeNil)
+		So(body, ShouldEqual, "/one")
+		So(response.Close, ShouldBeFalse)
+		send(c, "dy")
+		response, _, err = c.receive()
+		So(err, ShouldBeNil)
+		So(response.StatusCode, ShouldEqual, http.StatusServiceUnavailable)
+		So(response.Close, ShouldBeTrue)
+	})
+}
--- a/internal/proxy/acceptor/state.go
+++ b/internal/proxy/acceptor/state.go
@@ -108,14 +108,14 @@
 }
 
 // beginResponse reports whether a response may be written, and whether it is the last one:
-// on request, or because the node is stopping and no other call is pending.
+// on request, or because the node is stopping and no other call is pending or being read.
 func (s *state) beginResponse(last, stopping bool) (isLast, open bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ended {
 		return false, false
 	}
-	s.ended = last || (stopping && s.pending == 1)
+	s.ended = last || (stopping && s.pending == 1 && !s.reading)
 	return s.ended, true
 }
 
