acceptor: the idle timeout begins with the last response

The timeout ran from the end of the last request. After a call of 10 s, a connection with an idle timeout of 15 s was closed 5 s after its response, while its caller still counted on it; a request sent at that moment crossed the close.

TestIdleTimeoutBeginsWithLastResponse before: 'io: read/write on closed pipe' at the second request, 14 s after the first response.

--- a/internal/proxy/acceptor/conn.go
+++ b/internal/proxy/acceptor/conn.go
@@ -146,7 +146,7 @@
 			c.acceptor.inFlight.Add(1)
 			c.state.beginRead()
 			return nil
-		case !isTimeout(err) || c.state.expired():
+		case !isTimeout(err) || c.state.expired(idleTimeout):
 			return err
 		}
 	}
--- a/internal/proxy/acceptor/conn_test.go
+++ b/internal/proxy/acceptor/conn_test.go
@@ -254,3 +254,19 @@
 		So(response.Close, ShouldBeTrue)
 	})
 }
+
+// The idle timeout ran from the last request, so that a connection was closed too early after
+// a slow call, when its caller still counted on it.
+func TestIdleTimeoutBeginsWithLastResponse(t *testing.T) {
+	withCaller(t, slowHandler{time: 10 * time.Second}, func(_ *acceptor.Acceptor, c *caller) {
+		for range 2 {
+			send(c, "GET /one HTTP/1.1\r\nHost: h\r\n\r\n")
+			_, _, err := c.receive()
+			So(err, ShouldBeNil)
+			time.Sleep(14 * time.Second)
+		}
+		time.Sleep(2 * time.Second)
+		_, _, err := c.receive()
+		So(err, ShouldEqual, io.ErrUnexpectedEOF)
+	})
+}
--- a/internal/proxy/acceptor/state.go
+++ b/internal/proxy/acceptor/state.go
@@ -57,7 +57,7 @@
 	case s.ended || s.retired:
 		s.armEndLocked(conn)
 	default:
-		_ = conn.SetReadDeadline(deadline(time.Now(), idleTimeout))
+		_ = conn.SetReadDeadline(deadline(s.lastResponse, idleTimeout))
 	}
 }
 
@@ -72,10 +72,13 @@
 }
 
 // expired reports whether a wait that has timed out was the last one.
-func (s *state) expired() bool {
+func (s *state) expired(idleTimeout time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.pending == 0
+	if s.pending > 0 {
+		return false
+	}
+	return s.ended || s.retired || time.Since(s.lastResponse) >= idleTimeout
 }
 
 // beginRead records that the first byte of a request was read.
