acceptor, assembler: a stopping node exits only when its callers' connections have ended

After nothing had been in flight for 200 ms, Stop closed all connections of callers at once.

Acceptor.Shutdown accepts no further connection, lets each one end when it is idle and returns when none is left; Stop waits for it within the grace period. Close remains for the end of that. By reading: no play or whole-proxy test has shown the cut at the exit. TestShutdownAnswersWhatIsBeingRead does for the acceptor what Close could not: the request that was being read gets its 503.

--- a/internal/proxy/acceptor/acceptor.go
+++ b/internal/proxy/acceptor/acceptor.go
@@ -77,11 +77,17 @@
 	stopping atomic.Bool
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
+	// closing is set when connections are no longer accepted.
+	closing bool
+	// removed receives a value when a connection has ended.
+	removed chan struct{}
 }
 
 // New returns an acceptor. Serve must be called with a listener.
 func New(dialect Dialect, handler Handler, observe Observer) *Acceptor {
-	return &Acceptor{dialect: dialect, handler: handler, observe: observe, conns: map[*conn]struct{}{}}
+	return &Acceptor{
+		dialect: dialect, handler: handler, observe: observe, conns: map[*conn]struct{}{}, removed: make(chan struct{}, 1),
+	}
 }
 
 // Serve accepts connections until the listener is closed or fails.
@@ -92,17 +98,33 @@
 			return
 		}
 		c := newConn(a, raw)
-		a.mu.Lock()
-		a.conns[c] = struct{}{}
-		a.mu.Unlock()
+		if !a.add(c) {
+			_ = raw.Close()
+			continue
+		}
 		go c.serve()
 	}
 }
 
+// add records a connection. It returns false if none is accepted any more.
+func (a *Acceptor) add(c *conn) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.closing {
+		return false
+	}
+	a.conns[c] = struct{}{}
+	return true
+}
+
 func (a *Acceptor) remove(c *conn) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	delete(a.conns, c)
+	select {
+	case a.removed <- struct{}{}:
+	default:
+	}
 }
 
 // InFlight returns the number of calls whose response is not written yet, including those
@@ -123,6 +145,30 @@
 	}
 }
 
+// Shutdown accepts no further connections, closes each one when it is idle and returns when
+// all are closed or the context ends. No request that was read is left without a response,
+// unless the context ends.
+func (a *Acceptor) Shutdown(ctx context.Context) {
+	a.mu.Lock()
+	a.closing = true
+	a.mu.Unlock()
+	a.CloseIdle()
+	for a.open() > 0 {
+		select {
+		case <-a.removed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// open returns the number of open connections.
+func (a *Acceptor) open() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.conns)
+}
+
 // Close closes all connections, which cancels the calls in flight.
 func (a *Acceptor) Close() {
 	a.mu.Lock()
--- a/internal/proxy/acceptor/conn_test.go
+++ b/internal/proxy/acceptor/conn_test.go
@@ -270,3 +270,28 @@
 		So(err, ShouldEqual, io.ErrUnexpectedEOF)
 	})
 }
+
+// The node exits after the shutdown. What it has begun to read gets a response before.
+func TestShutdownAnswersWhatIsBeingRead(t *testing.T) {
+	withCaller(t, slowHandler{}, func(a *acceptor.Acceptor, c *caller) {
+		send(c, "POST /one HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbo")
+		synctest.Wait()
+		a.Stop()
+		ended := make(chan struct{})
+		go func() {
+			a.Shutdown(context.Background())
+			close(ended)
+		}()
+		time.Sleep(time.Second)
+		select {
+		case <-ended:
+			So("the shutdown has ended", ShouldBeBlank)
+		default:
+		}
+		send(c, "dy")
+		response, _, err := c.receive()
+		So(err, ShouldBeNil)
+		So(response.StatusCode, ShouldEqual, http.StatusServiceUnavailable)
+		<-ended
+	})
+}
--- a/internal/proxy/assembler/stopper.go
+++ b/internal/proxy/assembler/stopper.go
@@ -1,6 +1,7 @@
 package assembler
 
 import (
+	"context"
 	"time"
 )
 
@@ -40,7 +41,11 @@
 	time.Sleep(refuseCallersDelay - refuseForwardedDelay)
 	p.acceptor.Stop()
 	p.acceptor.CloseIdle()
-	p.awaitIdle(start.Add(p.bounds.Grace.Std() - exitMargin))
+	deadline := start.Add(p.bounds.Grace.Std() - exitMargin)
+	p.awaitIdle(deadline)
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	p.acceptor.Shutdown(ctx)
 	p.telemetry.Stopped(p.acceptor.InFlight())
 	p.Close()
 }
