router: traffic splits of different processes begin at different positions

Cause, in part: every process began its split with the same backend, so that the first calls of all restarted nodes went there. With more nodes than calls in the time the whole share goes to one backend.

Now a split begins at a position that the process and the route determine; over a period of the sequence the proportion stays exact. TestRestartOfAllNodesKeepsWeights (300 nodes, 200 calls) before: share 1 where 0.5 is due (within 0.2); now within the bound for weights of 50, 30 and 10.

--- a/internal/proxy/forwarder/forwarder.go
+++ b/internal/proxy/forwarder/forwarder.go
@@ -68,6 +68,9 @@
 	return h.Sum64()
 }
 
+// Sender returns the number that identifies this process among all others.
+func (f *Forwarder) Sender() uint64 { return f.sender }
+
 // OnUnresponsive sets the function that is called with the address of a node that has
 // become unresponsive.
 func (f *Forwarder) OnUnresponsive(notify func(address string)) { f.onUnresponsive.Store(&notify) }
--- a/internal/proxy/router/router.go
+++ b/internal/proxy/router/router.go
@@ -4,6 +4,8 @@
 package router
 
 import (
+	"fmt"
+	"hash/fnv"
 	"sort"
 	"strings"
 	"sync"
@@ -96,8 +98,9 @@
 }
 
 // New builds the table of a configuration. Routes whose backends did not change keep
-// the splitter state of the previous table, which may be nil.
-func New(c Configuration, previous *Table) *Table {
+// the splitter state of the previous table, which may be nil. Traffic splits of other routes
+// begin at positions that the seed determines.
+func New(c Configuration, previous *Table, seed uint64) *Table {
 	t := &Table{Configuration: c, hosts: map[string][]*entry{}, services: map[string]Service{}}
 	for _, service := range c.Services {
 		t.services[service.Name] = service
@@ -105,7 +108,7 @@
 	for i := range t.Routes {
 		route := &t.Routes[i]
 		host := strings.ToLower(route.Host)
-		t.hosts[host] = append(t.hosts[host], &entry{route: route, splitter: newSplitter(route.Backends)})
+		t.hosts[host] = append(t.hosts[host], &entry{route: route, splitter: newSplitter(route.Backends, phase(seed, route))})
 	}
 	for _, entries := range t.hosts {
 		sort.SliceStable(entries, func(i, j int) bool {
@@ -116,6 +119,13 @@
 	return t
 }
 
+// phase returns a hash of a seed and a route.
+func phase(seed uint64, r *Route) uint64 {
+	h := fnv.New64a()
+	_, _ = fmt.Fprintf(h, "%d/%s/%s", seed, r.Host, r.Prefix)
+	return h.Sum64()
+}
+
 // inherit copies the splitter state of routes whose backends did not change, since frequent
 // configuration updates would otherwise restart the split each time and skew it. Routes of
 // two versions correspond if they have the same host and prefix.
--- a/internal/proxy/router/router_test.go
+++ b/internal/proxy/router/router_test.go
@@ -6,7 +6,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
-func table(routes ...Route) *Table { return New(Configuration{Version: 1, Routes: routes}, nil) }
+func table(routes ...Route) *Table { return New(Configuration{Version: 1, Routes: routes}, nil, 0) }
 
 func route(host, prefix string, backends ...Backend) Route {
 	return Route{Name: host + prefix, Host: host, Prefix: prefix, Backends: backends}
@@ -49,7 +49,7 @@
 		counts := map[string]int{}
 		for i := range 1000 {
 			if i%3 == 0 {
-				current = New(Configuration{Version: int64(i), Routes: []Route{r}}, current)
+				current = New(Configuration{Version: int64(i), Routes: []Route{r}}, current, 0)
 			}
 			match, _ := current.Lookup("a", "/")
 			counts[match.Service]++
@@ -60,7 +60,7 @@
 	Convey("Changed weights apply from the next call", t, func() {
 		current := table(route("a", "/", Backend{"big", 9}, Backend{"small", 1}))
 		_, _ = current.Lookup("a", "/")
-		next := New(Configuration{Routes: []Route{route("a", "/", Backend{"big", 1}, Backend{"small", 9})}}, current)
+		next := New(Configuration{Routes: []Route{route("a", "/", Backend{"big", 1}, Backend{"small", 9})}}, current, 0)
 		counts := map[string]int{}
 		for range 10 {
 			match, _ := next.Lookup("a", "/")
@@ -69,3 +69,25 @@
 		So(counts["small"], ShouldEqual, 9)
 	})
 }
+
+// After a restart of all nodes, the first calls of each went to the first backend, so that it
+// got far more than its share of a short time's calls.
+func TestRestartOfAllNodesKeepsWeights(t *testing.T) {
+	const nodes, calls = 300, 200
+	Convey("The share of each backend stays within 0.2 of its weight", t, func() {
+		for _, weight := range []int{50, 30, 10} {
+			r := route("a", "/", Backend{"first", weight}, Backend{"second", 100 - weight})
+			var tables []*Table
+			for i := range nodes {
+				tables = append(tables, New(Configuration{Routes: []Route{r}}, nil, uint64(i)))
+			}
+			first := 0
+			for i := range calls {
+				if match, _ := tables[i%nodes].Lookup("a", "/"); match.Service == "first" {
+					first++
+				}
+			}
+			So(float64(first)/calls, ShouldAlmostEqual, float64(weight)/100, 0.2)
+		}
+	})
+}
--- a/internal/proxy/router/splitter.go
+++ b/internal/proxy/router/splitter.go
@@ -11,14 +11,30 @@
 	totalWeight    int
 }
 
-func newSplitter(backends []Backend) splitter {
+// maxPhase bounds the selections that a new splitter skips.
+const maxPhase = 1 << 10
+
+// newSplitter returns a splitter whose sequence of selections begins at a position that phase
+// determines. If all nodes began at the same position, their first calls would all go to the
+// same backend.
+func newSplitter(backends []Backend, phase uint64) splitter {
 	s := splitter{backends: backends, currentWeights: make([]int, len(backends))}
 	for _, b := range backends {
 		s.totalWeight += b.Weight
 	}
+	if len(backends) > 1 && s.totalWeight > 0 {
+		s.skip(int(phase % uint64(min(s.totalWeight, maxPhase))))
+	}
 	return s
 }
 
+// skip makes selections without calls.
+func (s *splitter) skip(selections int) {
+	for range selections {
+		s.next()
+	}
+}
+
 func (s *splitter) next() string {
 	best := 0
 	for i, b := range s.backends {
--- a/internal/proxy/subscriber/subscriber.go
+++ b/internal/proxy/subscriber/subscriber.go
@@ -106,6 +106,9 @@
 	OwnAddress string
 	// Discovered is closed once the node has tried to discover the others.
 	Discovered <-chan struct{}
+	// Seed differs between processes, so that their traffic splits do not all begin with the
+	// same backend.
+	Seed uint64
 	// FirstStart reports that the whole system starts for the first time.
 	FirstStart bool
 	// Request requests a newer configuration from another node.
@@ -306,7 +309,7 @@
 	if previous != nil && c.Version <= previous.Version {
 		return
 	}
-	s.table.Store(router.New(c, previous))
+	s.table.Store(router.New(c, previous, s.config.Seed))
 	s.history.Add(c.Version, data)
 	s.notifyWaitersLocked()
 	s.config.Observe.InForce(c, source)
