metastore: the stand-in store can come back from a copy, in a new era

The platform's store may return from a copy some seconds old; what was written since is then gone, leases too, and its revisions and lease IDs are given out again. The stand-in could not show that, so no test could.

Store-Era is in every response, errors and 503 included; a response names the era in which the call ran. A watch from a revision that the store has not given out gets 410. The faults are independent of it: a store that is away is Unavailable or Unresponsive between the two calls.

Leases go on with the time that they had left in the copy. The protocol says "either pause or expire"; a test that needs them expired can call RevokeLeases.

--- a/standin/metastore/http.go
+++ b/standin/metastore/http.go
@@ -39,7 +39,7 @@
 	mux.HandleFunc("POST /api/kv-lease", s.withFaults("lease", s.serveGrant))
 	mux.HandleFunc("POST /api/kv-keep/{id}", s.withFaults("renew", s.serveRenew))
 	mux.HandleFunc("DELETE /api/kv-lease-end/{id}", s.withFaults("revoke", s.serveRevoke))
-	return mux
+	return s.withEra(mux)
 }
 
 // withFaults counts each call of an operation and applies the faults around its handler.
@@ -63,10 +63,11 @@
 			time.Sleep(faults.Delay)
 		}
 		if faults.Unavailable {
+			s.nameEra(w)
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		status, body := serve(r)
+		status, body := s.inOneEra(w, r, serve)
 		if faults.LoseWrites && r.Method != http.MethodGet {
 			panic(http.ErrAbortHandler)
 		}
@@ -117,6 +118,7 @@
 	wait, _ := strconv.ParseInt(r.FormValue("wait_ms"), 10, 64)
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
+	_, ended := s.currentEra()
 	for {
 		s.mu.Lock()
 		events, retained := s.eventsSince(r.FormValue("prefix"), after)
@@ -130,6 +132,8 @@
 		}
 		select {
 		case <-changed:
+		case <-ended:
+			panic(http.ErrAbortHandler)
 		case <-timer.C:
 			return http.StatusOK, map[string]any{"events": events, "at": at}
 		case <-r.Context().Done():
--- a/standin/metastore/metastore.go
+++ b/standin/metastore/metastore.go
@@ -62,12 +62,16 @@
 	calls        Calls
 	// changed is closed and replaced at every change, except under Faults.StallWatches.
 	changed chan struct{}
+	// era starts at 1 and increases by one at each Restore, which closes and replaces ended.
+	era   int64
+	ended chan struct{}
 }
 
 // New returns a store without keys, leases or faults.
 func New() *Store {
 	return &Store{
 		rev: 1, items: map[string]Item{}, leases: map[int64]*lease{}, calls: Calls{}, changed: make(chan struct{}),
+		era: 1, ended: make(chan struct{}),
 	}
 }
 
@@ -199,9 +203,10 @@
 }
 
 // eventsSince returns the events after a revision of keys that have a prefix, and
-// whether the history reaches back that far. The caller holds the lock.
+// whether the history reaches back that far and the store has given out that revision. The
+// caller holds the lock.
 func (s *Store) eventsSince(prefix string, after int64) ([]Item, bool) {
-	if after < s.compactedRev {
+	if after < s.compactedRev || after > s.rev {
 		return nil, false
 	}
 	var events []Item
