assembler: tests of a store that comes back from a copy, six of them red

The store may lose what it acknowledged in the last seconds and give its revisions and lease IDs out again. The tests show on whole proxies what that costs callers and the operator.

- TestVersionAtRevisionOfFormerEraReachesNodes (all six cases): "Expected: 5 Actual: 1", 2 s (3 s after an outage) after the store is reachable again.
A watch from a revision of the former era gets 200, without the version written below that revision, and nothing else makes the node read again.
- TestNodeStartedAfterLossInStoreServesVersionInForce: "Expected: 5 Actual: 1", a second after the node is ready, if it is the first relay of its zone or alone there: such a node asks the store only.
Passes for the other nodes, which have the version from a relay.
- TestNodeStartedBehindRelaysOfFormerEraFollowsStore: "Expected: 6 Actual: 5".
The node has read the store in the new era, then takes the relays' revision, which is of the former, and watches from it.
- TestRelayThatTakesOverAfterRestoreMissesNoVersion: "Expected: 6 Actual: 5".
The second relay keeps the maximum of the revisions that it was sent, which is of the former era, and watches from it once the first relay is dead.
- TestNodeWhoseLeaseIDWasGrantedAgainIsListed: "Expected the container ([]string) to contain: 'tamarackscale/nodes/vm-x-5' (but it didn't)!".
The node renews its lost lease with success, since the ID is another node's.
- TestRemovedVMInSnapshotIsNoMemberAgain: "Expected: 0 Actual: 3".
All three remaining nodes read the entry of the removed VM and take it for a member again, with the record from before its drain, for some 6 s.

They pass for what works already: the version in force never goes back and is followed by the next one (TestVersionInForceOutlivesItsLossInStore), a node that registered after the copy is listed again if its lease ID is still free (TestNodeRegisteredAfterSnapshotIsListedAgain), an entry from before an upstream's drain doesn't undo the drain (TestSnapshotFromBeforeDrainDoesNotUndoIt).

The stand-in store tells the lease of a key, by which the test of lease IDs makes sure that two nodes hold the same one.

--- a/standin/metastore/metastore.go
+++ b/standin/metastore/metastore.go
@@ -113,6 +113,14 @@
 	return keys
 }
 
+// Lease returns the ID of the lease that a key is bound to; 0 if there is none or no such
+// key.
+func (s *Store) Lease(key string) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.items[key].Lease
+}
+
 // Delete removes a key at a new revision, as the revocation of its lease does. Clients see
 // it only in a watch or at their next read.
 func (s *Store) Delete(key string) {
