--- a/standin/metastore/metastore.go
+++ b/standin/metastore/metastore.go
@@ -62,12 +62,16 @@
 	calls        Calls
 	// changed is closed and replaced at every change, except under Faults.StallWatches.
 	changed chan struct{}
+	// era starts at 1 and increases by one at each Restore, which closes and replaces ended.
+	era   int64
+	ended chan struct{}
 }
 
 // New returns a store without keys, leases or faults.
 func New() *Store {
 	return &Store{
 		rev: 1, items: map[string]Item{}, leases: map[int64]*lease{}, calls: Calls{}, changed: make(chan struct{}),
+		era: 1, ended: make(chan struct{}),
 	}
 }
 
@@ -109,6 +113,14 @@
 	return keys
 }
 
+// Lease returns the ID of the lease that a key is bound to; 0 if there is none or no such
+// key.
+func (s *Store) Lease(key string) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.items[key].Lease
+}
+
 // Delete removes a key at a new revision, as the revocation of its lease does. Clients see
 // it only in a watch or at their next read.
 func (s *Store) Delete(key string) {
@@ -199,9 +211,10 @@
 }
 
 // eventsSince returns the events after a revision of keys that have a prefix, and
-// whether the history reaches back that far. The caller holds the lock.
+// whether the history reaches back that far and the store has given out that revision. The
+// caller holds the lock.
 func (s *Store) eventsSince(prefix string, after int64) ([]Item, bool) {
-	if after < s.compactedRev {
+	if after < s.compactedRev || after > s.rev {
 		return nil, false
 	}
 	var events []Item
