finder: the entry of a removed member counts only when the member replies

What callers would see: calls to a VM that is gone. Its node was removed as unresponsive, then its entry comes back, with a stale read or with the copy from which the store returned after a drill, and every node that reads it sends calls there again until the entry expires once more and a probe fails.

Cause: read and querySeeds believed every record that they got.

Now a removal is remembered for a minute, which is longer than the lease, the age of a copy ("some seconds") and of a stale read together. A record of that or an earlier process from the store or a seed causes one announcement to the address instead, none while one is in flight; the reply makes it a member again. The record of a later process counts at once. The memory is bounded by the members removed within a minute.

Not affected: a record from the member itself (announcement or reply).

Before: go test ./internal/proxy/finder finder_test.go Line 162: (the entry of a removed member came back) Expected: 0 Actual: 5 (Should equal)! --- FAIL: TestEntryOfRemovedMemberIsNotBelieved After: ok, with internal/proxy/..., platform/... and standin/...

--- a/internal/proxy/finder/finder.go
+++ b/internal/proxy/finder/finder.go
@@ -38,6 +38,9 @@
 	// firstHeartbeatTimeout is how long a new node waits for the first heartbeat of its
 	// upstream before it registers without one.
 	firstHeartbeatTimeout = 4 * time.Second
+	// removalTTL is how long the removal of a member is remembered. It exceeds leaseTTL, the
+	// age of a copy that the store may come back from and that of a stale read together.
+	removalTTL = time.Minute
 )
 
 // Directory holds the member records of the node.
@@ -111,6 +114,8 @@
 	acknowledged map[incarnation]uint64
 	// announcing holds the incarnations to which an announcement is in flight.
 	announcing map[incarnation]bool
+	// removed holds the latest removal of each node, for removalTTL.
+	removed    map[string]removal
 	discovered chan struct{}
 	once       sync.Once
 }
@@ -124,11 +129,17 @@
 
 func incarnationOf(m balancer.Member) incarnation { return incarnation{node: m.Node, start: m.Start} }
 
+// removal is the removal of an unresponsive member.
+type removal struct {
+	start int64
+	at    time.Time
+}
+
 // New returns a finder that has announced nothing yet.
 func New(config Config) *Finder {
 	return &Finder{
 		config: config, trigger: make(chan struct{}, 1), acknowledged: map[incarnation]uint64{}, announcing: map[incarnation]bool{},
-		discovered: make(chan struct{}),
+		removed: map[string]removal{}, discovered: make(chan struct{}),
 	}
 }
 
@@ -268,12 +279,46 @@
 			continue
 		}
 		listed[m.Node] = true
-		f.updateMember(m, "store")
+		f.updateRelayed(ctx, m, "store")
 	}
 	f.probeUnlisted(ctx, listed)
 	return nil
 }
 
+// updateRelayed updates a member from a record that did not come from the member itself. The
+// record of a removed incarnation may be a relic, so that member must reply first.
+func (f *Finder) updateRelayed(ctx context.Context, m balancer.Member, source string) {
+	if !f.wasRemoved(m) {
+		f.updateMember(m, source)
+		return
+	}
+	f.announceTo(ctx, m, f.config.Directory.Self())
+}
+
+// wasRemoved reports whether the incarnation of a record, or a later one of its node, was
+// removed and has not replied since.
+func (f *Finder) wasRemoved(m balancer.Member) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r, known := f.removed[m.Node]
+	return known && m.Start <= r.start && time.Since(r.at) < removalTTL
+}
+
+// remove removes an unresponsive member.
+func (f *Finder) remove(m balancer.Member) {
+	f.mu.Lock()
+	for node, r := range f.removed {
+		if time.Since(r.at) >= removalTTL {
+			delete(f.removed, node)
+		}
+	}
+	f.removed[m.Node] = removal{start: m.Start, at: time.Now()}
+	delete(f.acknowledged, incarnationOf(m))
+	f.mu.Unlock()
+	f.config.Directory.Forget(m.Node)
+	f.config.Observe.MemberLost(m)
+}
+
 func (f *Finder) updateMember(m balancer.Member, source string) {
 	if m.Node == f.config.Directory.Self().Node {
 		return
@@ -295,8 +340,7 @@
 			if f.announce(ctx, m, own) {
 				return
 			}
-			f.config.Directory.Forget(m.Node)
-			f.config.Observe.MemberLost(m)
+			f.remove(m)
 		}()
 	}
 }
@@ -306,18 +350,26 @@
 func (f *Finder) announceAll(ctx context.Context) {
 	own := f.config.Directory.Self()
 	for _, m := range f.config.Directory.Members() {
-		if m.Node == own.Node || !f.beginAnnouncement(incarnationOf(m), own.Sequence) {
-			continue
+		if m.Node != own.Node {
+			f.announceTo(ctx, m, own)
 		}
-		go func() {
-			f.announce(ctx, m, own)
-			f.mu.Lock()
-			delete(f.announcing, incarnationOf(m))
-			f.mu.Unlock()
-		}()
 	}
 }
 
+// announceTo announces the node's own record to a member if that has not acknowledged it yet
+// and no announcement is in flight. It does not wait for the reply.
+func (f *Finder) announceTo(ctx context.Context, m, own balancer.Member) {
+	if !f.beginAnnouncement(incarnationOf(m), own.Sequence) {
+		return
+	}
+	go func() {
+		f.announce(ctx, m, own)
+		f.mu.Lock()
+		delete(f.announcing, incarnationOf(m))
+		f.mu.Unlock()
+	}()
+}
+
 // beginAnnouncement reports whether an announcement to a member is due and none is in flight.
 // If so, it marks one as in flight.
 func (f *Finder) beginAnnouncement(to incarnation, sequence uint64) bool {
@@ -344,10 +396,12 @@
 	return true
 }
 
-// Acknowledged records that a member has the node's own record.
+// Acknowledged records that a member, which has just replied or announced itself, has the
+// node's own record.
 func (f *Finder) Acknowledged(m, own balancer.Member) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	delete(f.removed, m.Node)
 	f.acknowledged[incarnationOf(m)] = max(f.acknowledged[incarnationOf(m)], own.Sequence)
 }
 
@@ -362,7 +416,7 @@
 			continue
 		}
 		for _, m := range members {
-			f.updateMember(m, "seed")
+			f.updateRelayed(ctx, m, "seed")
 		}
 		return
 	}
--- /dev/null
+++ b/internal/proxy/finder/finder_test.go
@@ -0,0 +1,180 @@
+package finder
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/tamarackscale/tamarackscale/internal/platform/keeper"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/balancer"
+)
+
+const ownNode = "own"
+
+var errSilent = errors.New("no reply")
+
+// world is the surroundings of a finder. It implements Store, Directory and Observer.
+type world struct {
+	keeper.EventStore
+
+	mu       sync.Mutex
+	self     balancer.Member
+	balancer *balancer.Balancer
+	// entries holds the other nodes' entries in the store, processes the process that
+	// replies at each address.
+	entries   []balancer.Member
+	processes map[string]balancer.Member
+}
+
+// inWorld runs a test on simulated time with a finder that has run for 10 seconds. Prepare
+// changes the world before it runs.
+func inWorld(t *testing.T, name string, prepare func(w *world), run func(w *world, f *Finder)) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey(name, t, func() {
+			w := &world{self: memberOf(ownNode, 1), balancer: balancer.New("x"), processes: map[string]balancer.Member{}}
+			w.balancer.Update(w.self)
+			known := make(chan struct{})
+			close(known)
+			f := New(Config{Store: w, Directory: w, Messenger: messenger{w}, Observe: w, UpstreamKnown: known})
+			prepare(w)
+			ctx, cancel := context.WithCancel(context.Background())
+			ended := make(chan struct{})
+			go func() { defer close(ended); f.Run(ctx) }()
+			defer func() {
+				cancel()
+				<-ended
+				// Announcements in flight end before simulated time stops.
+				time.Sleep(time.Minute)
+			}()
+			time.Sleep(10 * time.Second)
+			run(w, f)
+		})
+	})
+}
+
+// memberOf returns the record of a node's process; the address belongs to the node.
+func memberOf(node string, start int64) balancer.Member {
+	return balancer.Member{Node: node, Start: start, Sequence: 1, Address: node + ":1", Service: "s", Instance: "i-" + node}
+}
+
+// set changes the world under its lock.
+func (w *world) set(change func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	change()
+}
+
+// start returns the start of the known incarnation of a node; 0 if it is no member.
+func (w *world) start(node string) int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	m, _ := w.balancer.Member(node)
+	return m.Start
+}
+
+func (w *world) Self() balancer.Member {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.self
+}
+
+func (w *world) UpdateMember(m balancer.Member) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.balancer.Update(m)
+}
+
+func (w *world) Members() []balancer.Member {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.balancer.Members()
+}
+
+func (w *world) Forget(node string) { w.set(func() { w.balancer.Remove(node) }) }
+
+// messenger reaches the processes of a world.
+type messenger struct{ *world }
+
+func (w messenger) Members(context.Context, string) ([]balancer.Member, error) { return nil, errSilent }
+
+func (w messenger) Announce(_ context.Context, address string, _ balancer.Member) (balancer.Member, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	process, alive := w.processes[address]
+	if !alive {
+		return balancer.Member{}, errSilent
+	}
+	return process, nil
+}
+
+func (w *world) Range(context.Context, string, keeper.Consistency) (keeper.Snapshot, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var s keeper.Snapshot
+	for _, m := range w.entries {
+		value, err := json.Marshal(m)
+		if err != nil {
+			return s, err
+		}
+		s.Items = append(s.Items, keeper.Item{Key: keyPrefix + m.Node, Value: value})
+	}
+	return s, nil
+}
+
+func (w *world) Lease(context.Context, time.Duration) (keeper.LeaseID, time.Duration, error) {
+	return 1, leaseTTL, nil
+}
+
+func (w *world) Renew(context.Context, keeper.LeaseID) error { return nil }
+
+func (w *world) Commit(context.Context, keeper.Transaction) (keeper.Revision, error) { return 1, nil }
+
+func (w *world) Registered(int)                      {}
+func (w *world) RegistrationFailed(error)            {}
+func (w *world) RegistrationRegained()               {}
+func (w *world) MemberFound(balancer.Member, string) {}
+func (w *world) MemberLost(balancer.Member)          {}
+func (w *world) EntryUnusable(string, error)         {}
+
+// Guards against calls to a VM that is gone, whose entry comes back with a copy of the store
+// or a stale read.
+func TestEntryOfRemovedMemberIsNotBelieved(t *testing.T) {
+	gone := memberOf("gone", 5)
+	list := func(entries ...balancer.Member) func(w *world) {
+		return func(w *world) { w.set(func() { w.entries = entries }) }
+	}
+	removed := func(w *world) {
+		So(w.start("gone"), ShouldEqual, 5)
+		list()(w)
+		time.Sleep(10 * time.Second)
+		So(w.start("gone"), ShouldEqual, 0)
+	}
+	inWorld(t, "The entry of a removed member comes back", list(gone), func(w *world, _ *Finder) {
+		removed(w)
+		list(gone)(w)
+		time.Sleep(15 * time.Second)
+		So(w.start("gone"), ShouldEqual, 0)
+		w.set(func() { w.processes[gone.Address] = gone })
+		time.Sleep(7 * time.Second)
+		So(w.start("gone"), ShouldEqual, 5)
+	})
+	inWorld(t, "The entry of its next process counts at once", list(gone), func(w *world, _ *Finder) {
+		removed(w)
+		list(memberOf("gone", 6))(w)
+		time.Sleep(7 * time.Second)
+		So(w.start("gone"), ShouldEqual, 6)
+	})
+	inWorld(t, "The removal is forgotten when no copy can be as old", list(gone), func(w *world, _ *Finder) {
+		removed(w)
+		time.Sleep(2 * time.Minute)
+		list(gone)(w)
+		time.Sleep(7 * time.Second)
+		So(w.start("gone"), ShouldEqual, 5)
+	})
+}
