--- a/internal/proxy/assembler/directory_test.go
+++ b/internal/proxy/assembler/directory_test.go
@@ -10,13 +10,19 @@
 	"github.com/tamarackscale/tamarackscale/internal/settings/reader"
 )
 
+// newProxy returns a proxy that is not started, as vm-10 with a link of 7 Mbit/s in zone x.
+func newProxy() *Proxy {
+	p, err := New(Config{Output: io.Discard, Settings: &reader.Settings{
+		Node:   reader.Node{ID: "vm-10", IP: "10.0.0.10", AvailabilityZone: "x", LinkRate: 7},
+		Listen: reader.Listen{Ports: []int{7000, 7015}},
+	}})
+	So(err, ShouldBeNil)
+	return p
+}
+
 func TestRelaysAreTheNodesWithTheHighestLinkRates(t *testing.T) {
 	Convey("A zone with low and high link rates", t, func() {
-		p, err := New(Config{Output: io.Discard, Settings: &reader.Settings{
-			Node:   reader.Node{ID: "vm-10", IP: "10.0.0.10", AvailabilityZone: "x", LinkRate: 7},
-			Listen: reader.Listen{Ports: []int{7000, 7015}},
-		}})
-		So(err, ShouldBeNil)
+		p := newProxy()
 		defer p.Close()
 		for _, m := range []balancer.Member{
 			{Node: "vm-1", Address: "1", Zone: "x", LinkRate: 7},
@@ -34,3 +40,15 @@
 		So(addresses, ShouldResemble, []string{"2", "3", "1", "10.0.0.10:7000"})
 	})
 }
+
+// Guards against a node that loses its own upstream to the record of a former VM at its
+// address, whose clock was ahead.
+func TestNodeKeepsItsOwnAddress(t *testing.T) {
+	Convey("The record of another node with this node's address is ignored", t, func() {
+		p := newProxy()
+		defer p.Close()
+		former := balancer.Member{Node: "vm-9", Start: p.incarnation + 1, Address: p.Self().Address, Service: "s"}
+		So(p.UpdateMember(former), ShouldBeFalse)
+		So(p.Members(), ShouldResemble, []balancer.Member{p.Self()})
+	})
+}
