finder: a failed probe removes only the record that was probed

What callers would see: a node that restarts is a member, then is none for up to 6 s (until the next read), so that its upstream gets no calls from the node that removed it.

Cause: the probe of a member without an entry takes up to 2 s, and its failure removed whatever record the node had by then, also that of the next process, which had announced itself meanwhile, or a newer one of the same process.

Forget and Remove now take the probed record and keep a newer one. Then neither the removal is remembered nor the connection closed.

Before: go test -run CameBack ./internal/proxy/finder finder_test.go Line 204: Expected: 6 Actual: 0 (Should equal)! --- FAIL: TestMemberThatCameBackDuringProbeStays After: ok, with internal/proxy/..., platform/... and standin/...

--- a/internal/proxy/assembler/directory.go
+++ b/internal/proxy/assembler/directory.go
@@ -54,14 +54,15 @@
 	return members
 }
 
-// Forget removes a member and closes the connection to it.
-func (p *Proxy) Forget(node string) {
-	p.dispatcher.WithBalancer(func(b *balancer.Balancer) {
-		if m, known := b.Member(node); known {
-			p.forwarder.Forget(m.Address)
-		}
-		b.Remove(node)
-	})
+// Forget removes a member and closes the connection to it, unless its known record is newer
+// than m. It reports whether it did.
+func (p *Proxy) Forget(m balancer.Member) bool {
+	removed := false
+	p.dispatcher.WithBalancer(func(b *balancer.Balancer) { removed = b.Remove(m) })
+	if removed {
+		p.forwarder.Forget(m.Address)
+	}
+	return removed
 }
 
 // publishSelf publishes a new version of this node's member record.
--- a/internal/proxy/balancer/balancer.go
+++ b/internal/proxy/balancer/balancer.go
@@ -148,10 +148,16 @@
 	}
 }
 
-// Remove removes a member and its statistics.
-func (b *Balancer) Remove(node string) {
-	delete(b.members, node)
+// Remove removes a member and its statistics, unless its known record is newer than m, and
+// reports whether it did.
+func (b *Balancer) Remove(m Member) bool {
+	c, known := b.members[m.Node]
+	if !known || c.Newer(m) {
+		return false
+	}
+	delete(b.members, m.Node)
 	b.rebuildIndex()
+	return true
 }
 
 func (b *Balancer) rebuildIndex() {
--- a/internal/proxy/finder/finder.go
+++ b/internal/proxy/finder/finder.go
@@ -52,8 +52,9 @@
 	UpdateMember(m balancer.Member) bool
 	// Members returns the records of the known members. It may include the node's own.
 	Members() []balancer.Member
-	// Forget removes the record of a member.
-	Forget(node string)
+	// Forget removes a member unless its known record is newer than m, and reports whether
+	// it did.
+	Forget(m balancer.Member) bool
 }
 
 // Messenger sends messages to other nodes.
@@ -304,8 +305,11 @@
 	return known && m.Start <= r.start && time.Since(r.at) < removalTTL
 }
 
-// remove removes an unresponsive member.
+// remove removes an unresponsive member, unless a newer record of it has arrived.
 func (f *Finder) remove(m balancer.Member) {
+	if !f.config.Directory.Forget(m) {
+		return
+	}
 	f.mu.Lock()
 	for node, r := range f.removed {
 		if time.Since(r.at) >= removalTTL {
@@ -315,7 +319,6 @@
 	f.removed[m.Node] = removal{start: m.Start, at: time.Now()}
 	delete(f.acknowledged, incarnationOf(m))
 	f.mu.Unlock()
-	f.config.Directory.Forget(m.Node)
 	f.config.Observe.MemberLost(m)
 }
 
--- a/internal/proxy/finder/finder_test.go
+++ b/internal/proxy/finder/finder_test.go
@@ -30,6 +30,8 @@
 	// replies at each address.
 	entries   []balancer.Member
 	processes map[string]balancer.Member
+	// beforeReply is called, with the lock held, before the reply to an announcement.
+	beforeReply func()
 }
 
 // inWorld runs a test on simulated time with a finder that has run for 10 seconds. Prepare
@@ -96,7 +98,11 @@
 	return w.balancer.Members()
 }
 
-func (w *world) Forget(node string) { w.set(func() { w.balancer.Remove(node) }) }
+func (w *world) Forget(m balancer.Member) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.balancer.Remove(m)
+}
 
 // messenger reaches the processes of a world.
 type messenger struct{ *world }
@@ -106,6 +112,9 @@
 func (w messenger) Announce(_ context.Context, address string, _ balancer.Member) (balancer.Member, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.beforeReply != nil {
+		w.beforeReply()
+	}
 	process, alive := w.processes[address]
 	if !alive {
 		return balancer.Member{}, errSilent
@@ -178,3 +187,24 @@
 		So(w.start("gone"), ShouldEqual, 5)
 	})
 }
+
+// Guards against the removal of a restarted member because its former process did not reply.
+func TestMemberThatCameBackDuringProbeStays(t *testing.T) {
+	former, next := memberOf("node", 5), memberOf("node", 6)
+	prepare := func(w *world) { w.entries, w.processes[former.Address] = []balancer.Member{former}, former }
+	inWorld(t, "The next process announces itself while the former one is probed", prepare, func(w *world, _ *Finder) {
+		probed := make(chan struct{})
+		w.set(func() {
+			w.entries = nil
+			delete(w.processes, former.Address)
+			w.beforeReply = func() {
+				w.beforeReply = nil
+				w.balancer.Update(next)
+				close(probed)
+			}
+		})
+		<-probed
+		time.Sleep(time.Second)
+		So(w.start("node"), ShouldEqual, 6)
+	})
+}
