finder: a member is gone when another process replies at its address

What callers would see: calls to a member that has ended, for as long as its successor replies at the address. Each such attempt is refused there (it names the former process), which costs a part of the call's time and of the budget for retries.

Cause: the probe of a member without an entry took any reply as that member's. If the process that replied had the later start, its record replaced the former one anyway; if its clock was behind (another VM at a used address, or a restart after the clock was set back), the former member stayed for good, and in the second case the restarted node was not believed.

The member was known before the announcement was sent, so whoever replies to it started later. The former record is now removed, and the reply counts. Its entry, if it is still there, counts no more.

Before: go test -run AnotherProcess ./internal/proxy/finder finder_test.go Line 223: Expected: []int64{0, 4} Actual: []int64{5, 4} (Should equal)! --- FAIL: TestMemberIsGoneWhenAnotherProcessRepliesAtItsAddress After: ok, with internal/proxy/..., platform/... and standin/...

--- a/internal/observe/reporter/reporter.go
+++ b/internal/observe/reporter/reporter.go
@@ -311,7 +311,7 @@
 
 // MemberLost implements finder.Observer. It logs the removal of a member.
 func (r *Reporter) MemberLost(m balancer.Member) {
-	r.log.WithFields(logrus.Fields{"event": "memberLost", "member": m.Node}).Info("unresponsive member removed")
+	r.log.WithFields(logrus.Fields{"event": "memberLost", "member": m.Node}).Info("unresponsive or replaced member removed")
 }
 
 // EntryUnusable implements finder.Observer. It logs the key of a store entry that does not
--- a/internal/proxy/finder/finder.go
+++ b/internal/proxy/finder/finder.go
@@ -76,7 +76,8 @@
 	RegistrationRegained()
 	// MemberFound is called for a new or newer record; source is "store", "peer" or "seed".
 	MemberFound(m balancer.Member, source string)
-	// MemberLost is called when a member without an entry is unresponsive and was removed.
+	// MemberLost is called when a member was removed, because it has no entry and is
+	// unresponsive or because another process replies at its address.
 	MemberLost(m balancer.Member)
 	// EntryUnusable is called for an entry that is not a member record; err is nil if only
 	// a required field is missing.
@@ -305,7 +306,7 @@
 	return known && m.Start <= r.start && time.Since(r.at) < removalTTL
 }
 
-// remove removes an unresponsive member, unless a newer record of it has arrived.
+// remove removes an unresponsive or replaced member, unless a newer record of it has arrived.
 func (f *Finder) remove(m balancer.Member) {
 	if !f.config.Directory.Forget(m) {
 		return
@@ -394,6 +395,10 @@
 	if err != nil {
 		return false
 	}
+	if reply.Node != m.Node || reply.Start < m.Start {
+		// Whatever the clocks say, the process that replies is the later one.
+		f.remove(m)
+	}
 	f.Acknowledged(reply, own)
 	f.updateMember(reply, "peer")
 	return true
--- a/internal/proxy/finder/finder_test.go
+++ b/internal/proxy/finder/finder_test.go
@@ -208,3 +208,23 @@
 		So(w.start("node"), ShouldEqual, 6)
 	})
 }
+
+// Guards against calls to a former process for as long as its successor, with a clock that is
+// behind, replies at the address.
+func TestMemberIsGoneWhenAnotherProcessRepliesAtItsAddress(t *testing.T) {
+	former := memberOf("former", 5)
+	prepare := func(w *world) { w.entries = []balancer.Member{former} }
+	inWorld(t, "Another node replies", prepare, func(w *world, _ *Finder) {
+		So(w.start("former"), ShouldEqual, 5)
+		next := memberOf("next", 4)
+		next.Address = former.Address
+		w.set(func() { w.entries, w.processes[former.Address] = nil, next })
+		time.Sleep(10 * time.Second)
+		So([]int64{w.start("former"), w.start("next")}, ShouldResemble, []int64{0, 4})
+	})
+	inWorld(t, "The next process of the node replies", prepare, func(w *world, _ *Finder) {
+		w.set(func() { w.entries, w.processes[former.Address] = nil, memberOf("former", 4) })
+		time.Sleep(10 * time.Second)
+		So(w.start("former"), ShouldEqual, 4)
+	})
+}
