balancer: a late record of a former process at an address does not bring it back

What callers would see: an upstream of the wrong node in the choice. Calls chosen for the former node go to the address where another one listens now, are refused there since they name the former process, and cost a part of the call's time and of the budget for retries.

Cause: a new member removes the earlier one at its address, but a record of the earlier one that comes afterwards (its entry, which outlives it by the lease or comes back with a copy of the store; a seed's reply) added it again, beside the new one.

Such a record is no longer stored. A later process with a clock that is behind would be refused too.

Before: go test ./internal/proxy/balancer balancer_test.go Line 138: Expected: false Actual: true --- FAIL: TestAddressHasOneMember After: ok, with internal/proxy/..., platform/... and standin/...

--- a/internal/proxy/balancer/balancer.go
+++ b/internal/proxy/balancer/balancer.go
@@ -121,11 +121,12 @@
 }
 
 // Update stores the record of a member if it is newer than the known one, and reports
-// whether it did. A new instance or incarnation starts without statistics. An older member
-// with the same address is removed.
+// whether it did. A new instance or incarnation starts without statistics. Only one process
+// can listen on an address: an older member with the same one is removed, and the record of
+// a member older than the one there is not stored.
 func (b *Balancer) Update(m Member) bool {
 	c, known := b.members[m.Node]
-	if known && !m.Newer(c.Member) {
+	if (known && !m.Newer(c.Member)) || b.replaced(m) {
 		return false
 	}
 	if !known || c.Instance != m.Instance || c.Start != m.Start {
@@ -138,8 +139,17 @@
 	return true
 }
 
-// removeFormer removes older members with the address of m, since only one process
-// can listen on an address.
+// replaced reports whether a newer member has the address of m.
+func (b *Balancer) replaced(m Member) bool {
+	for name, c := range b.members {
+		if c.Address == m.Address && name != m.Node && m.Address != "" && c.Start > m.Start {
+			return true
+		}
+	}
+	return false
+}
+
+// removeFormer removes older members with the address of m.
 func (b *Balancer) removeFormer(m Member) {
 	for name, c := range b.members {
 		if c.Address == m.Address && name != m.Node && m.Address != "" && c.Start < m.Start {
--- a/internal/proxy/balancer/balancer_test.go
+++ b/internal/proxy/balancer/balancer_test.go
@@ -131,6 +131,13 @@
 		_, found := b.Member("new")
 		So(found, ShouldBeTrue)
 	})
+	Convey("A late record of the earlier process does not bring it back", t, func() {
+		b := New("x")
+		b.Update(Member{Node: "old", Start: 1, Sequence: 1, Address: "10.0.0.1:1", Service: "s"})
+		b.Update(Member{Node: "new", Start: 2, Address: "10.0.0.1:1", Service: "t"})
+		So(b.Update(Member{Node: "old", Start: 1, Sequence: 2, Address: "10.0.0.1:1", Service: "s"}), ShouldBeFalse)
+		So(b.Pick(callOf(1, 600*ms), now), ShouldBeNil)
+	})
 }
 
 // Guards against calls that all go to one of several equal upstreams until its load is
