finder: acknowledgements of former members are forgotten

What callers would see: nothing soon. The node kept one entry for each process that ever acknowledged its record, so its memory grew with every restart in the deployment; and a member that was lost and came back without a restart did not get the node's record again, which it may have removed meanwhile.

Cause: nothing ever left acknowledged.

Before the announcements of a round, the acknowledgements of incarnations that are no members are dropped, if there are as many as members; so a round that needs no drop only compares two lengths.

Before: go test -run AcknowledgementsOf ./internal/proxy/finder finder_test.go Line 246: Expected: map[finder.incarnation]uint64{finder.incarnation{node:"restarting", start:20}:1} Actual: map[finder.incarnation]uint64{finder.incarnation{node:"restarting", start:1}:1, finder.incarnation{node:"restarting", start:2}:1, ...

--- a/internal/proxy/finder/finder.go
+++ b/internal/proxy/finder/finder.go
@@ -112,7 +112,7 @@
 
 	mu sync.Mutex
 	// acknowledged is the highest sequence of this node's record that each incarnation has
-	// acknowledged.
+	// acknowledged. It does not outgrow the members.
 	acknowledged map[incarnation]uint64
 	// announcing holds the incarnations to which an announcement is in flight.
 	announcing map[incarnation]bool
@@ -352,14 +352,32 @@
 // announceAll announces the node's own record to every member that has not acknowledged
 // it yet. It does not wait for the replies.
 func (f *Finder) announceAll(ctx context.Context) {
-	own := f.config.Directory.Self()
-	for _, m := range f.config.Directory.Members() {
+	own, members := f.config.Directory.Self(), f.config.Directory.Members()
+	f.dropFormer(members)
+	for _, m := range members {
 		if m.Node != own.Node {
 			f.announceTo(ctx, m, own)
 		}
 	}
 }
 
+// dropFormer drops the acknowledgements of incarnations that are no members any more, once
+// there are as many acknowledgements as members. Only the node itself has none.
+func (f *Finder) dropFormer(members []balancer.Member) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.acknowledged) < len(members) {
+		return
+	}
+	kept := make(map[incarnation]uint64, len(members))
+	for _, m := range members {
+		if sequence, known := f.acknowledged[incarnationOf(m)]; known {
+			kept[incarnationOf(m)] = sequence
+		}
+	}
+	f.acknowledged = kept
+}
+
 // announceTo announces the node's own record to a member if that has not acknowledged it yet
 // and no announcement is in flight. It does not wait for the reply.
 func (f *Finder) announceTo(ctx context.Context, m, own balancer.Member) {
--- a/internal/proxy/finder/finder_test.go
+++ b/internal/proxy/finder/finder_test.go
@@ -228,3 +228,21 @@
 		So(w.start("former"), ShouldEqual, 4)
 	})
 }
+
+// Guards against memory that grows with every process that ever was a member.
+func TestAcknowledgementsOfFormerMembersAreForgotten(t *testing.T) {
+	inWorld(t, "A member restarts often, another one ends", func(*world) {}, func(w *world, f *Finder) {
+		for start := int64(1); start <= 20; start++ {
+			m := memberOf("restarting", start)
+			w.set(func() { w.entries, w.processes[m.Address] = []balancer.Member{m, memberOf("ended", 1)}, m })
+			f.Acknowledged(memberOf("ended", 1), w.Self())
+			time.Sleep(7 * time.Second)
+			So(w.start("restarting"), ShouldEqual, start)
+		}
+		w.set(func() { w.entries = w.entries[:1] })
+		time.Sleep(10 * time.Second)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		So(f.acknowledged, ShouldResemble, map[incarnation]uint64{{"restarting", 20}: 1})
+	})
+}
