finder: a node that starts while the store is down asks the seeds before it is ready

What callers would see: 503 from a node that restarts while the store is away, for calls to other services, until its upstream's first heartbeat or for 4 s: the node is ready, since it has the configuration from a seed, but knows no other node.

Cause: the seeds were to be asked first if there were no members, but the members include the node itself, so there was always one. The next time was after the first heartbeat.

Now the seeds are asked if the first read fails, for 2 s at most, so that silent ones do not keep the node from being ready. They are still not asked when the store responds without other entries, as the field's comment says: at the first start of a large deployment each node would ask a seed for all members, and the early reads and announcements find them anyway.

Before: go test -run SeedsAre ./internal/proxy/finder finder_test.go Line 268: Expected: 1 Actual: 0 (Should equal)! --- FAIL: TestSeedsAreAskedFirstWhileStoreIsDown The bound: with 20 s in its place the second case fails. After: ok, with internal/proxy/..., platform/... and standin/...

--- a/internal/proxy/finder/finder.go
+++ b/internal/proxy/finder/finder.go
@@ -35,6 +35,8 @@
 	earlyReads = 3
 	// peerTimeout is the timeout of one message to another node and its reply.
 	peerTimeout = 2 * time.Second
+	// firstSeedsTimeout bounds how long a new node queries the seeds before it is ready.
+	firstSeedsTimeout = 2 * time.Second
 	// firstHeartbeatTimeout is how long a new node waits for the first heartbeat of its
 	// upstream before it registers without one.
 	firstHeartbeatTimeout = 4 * time.Second
@@ -90,7 +92,8 @@
 	Directory Directory
 	Messenger Messenger
 	Observe   Observer
-	// Seeds are addresses of nodes to query for members if the store does not respond.
+	// Seeds are addresses of nodes to query for members if the store does not respond, also
+	// before Discovered.
 	Seeds []string
 	// UpstreamKnown is closed when the first heartbeat of the local upstream has arrived.
 	UpstreamKnown <-chan struct{}
@@ -145,7 +148,8 @@
 	}
 }
 
-// Discovered returns a channel that is closed after the first attempt to read the entries.
+// Discovered returns a channel that is closed after the first attempt to read the entries,
+// or to query the seeds instead.
 func (f *Finder) Discovered() <-chan struct{} { return f.discovered }
 
 // AnnounceNow starts a round without delay, in which the node announces its changed
@@ -162,9 +166,9 @@
 func (f *Finder) Run(ctx context.Context) {
 	if err := f.read(ctx); err != nil {
 		f.storeFailed(err)
-	}
-	if len(f.config.Directory.Members()) == 0 {
-		f.querySeeds(ctx)
+		seedsCtx, cancel := context.WithTimeout(ctx, firstSeedsTimeout)
+		f.querySeeds(seedsCtx)
+		cancel()
 	}
 	f.once.Do(func() { close(f.discovered) })
 	select {
--- a/internal/proxy/finder/finder_test.go
+++ b/internal/proxy/finder/finder_test.go
@@ -15,7 +15,10 @@
 	"github.com/tamarackscale/tamarackscale/internal/proxy/balancer"
 )
 
-const ownNode = "own"
+const (
+	ownNode    = "own"
+	silentSeed = "silent"
+)
 
 var errSilent = errors.New("no reply")
 
@@ -32,6 +35,8 @@
 	processes map[string]balancer.Member
 	// beforeReply is called, with the lock held, before the reply to an announcement.
 	beforeReply func()
+	// storeDown makes calls to the store fail.
+	storeDown bool
 }
 
 // inWorld runs a test on simulated time with a finder that has run for 10 seconds. Prepare
@@ -107,7 +112,15 @@
 // messenger reaches the processes of a world.
 type messenger struct{ *world }
 
-func (w messenger) Members(context.Context, string) ([]balancer.Member, error) { return nil, errSilent }
+func (w messenger) Members(ctx context.Context, seed string) ([]balancer.Member, error) {
+	if seed == silentSeed {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.entries, nil
+}
 
 func (w messenger) Announce(_ context.Context, address string, _ balancer.Member) (balancer.Member, error) {
 	w.mu.Lock()
@@ -126,6 +139,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var s keeper.Snapshot
+	if w.storeDown {
+		return s, errSilent
+	}
 	for _, m := range w.entries {
 		value, err := json.Marshal(m)
 		if err != nil {
@@ -229,6 +245,33 @@
 	})
 }
 
+// Guards against a node that restarts while the store is down and, though ready, knows no other
+// until its upstream has sent a heartbeat.
+func TestSeedsAreAskedFirstWhileStoreIsDown(t *testing.T) {
+	start := func(t *testing.T, name string, seeds []string, check func(w *world, elapsed time.Duration)) {
+		synctest.Test(t, func(t *testing.T) {
+			Convey(name, t, func() {
+				w := &world{self: memberOf(ownNode, 1), balancer: balancer.New("x"), storeDown: true}
+				w.balancer.Update(w.self)
+				w.entries = []balancer.Member{memberOf("other", 1)}
+				f := New(Config{Store: w, Directory: w, Messenger: messenger{w}, Observe: w, Seeds: seeds})
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				began := time.Now()
+				go f.Run(ctx)
+				<-f.Discovered()
+				check(w, time.Since(began))
+			})
+		})
+	}
+	start(t, "A seed replies", []string{"seed"}, func(w *world, _ time.Duration) {
+		So(w.start("other"), ShouldEqual, 1)
+	})
+	start(t, "Silent seeds do not hold the node up for long", []string{silentSeed, silentSeed, silentSeed}, func(_ *world, elapsed time.Duration) {
+		So(elapsed, ShouldBeLessThanOrEqualTo, 2*time.Second)
+	})
+}
+
 // Guards against memory that grows with every process that ever was a member.
 func TestAcknowledgementsOfFormerMembersAreForgotten(t *testing.T) {
 	inWorld(t, "A member restarts often, another one ends", func(*world) {}, func(w *world, f *Finder) {
