--- a/internal/proxy/assembler/directory.go
+++ b/internal/proxy/assembler/directory.go
@@ -33,12 +33,14 @@
 	return m
 }
 
-// UpdateMember updates the record of a member and reports whether it changed. If the
-// record has a drain start, that is also kept in the drain records, so that the member's
-// next process can query it.
+// UpdateMember updates the record of a member and reports whether it changed. The record
+// of a former node at this node's address is not stored. If the record has a drain start,
+// that is also kept in the drain records, so that the member's next process can query it.
 func (p *Proxy) UpdateMember(m balancer.Member) bool {
 	updated := false
-	p.dispatcher.WithBalancer(func(b *balancer.Balancer) { updated = b.Update(m) })
+	if s := p.settings.Load(); m.Node == s.Node.ID || m.Address != s.PeerAddress() {
+		p.dispatcher.WithBalancer(func(b *balancer.Balancer) { updated = b.Update(m) })
+	}
 	if m.DrainStart != 0 {
 		p.drainRecords.record(tracker.Incarnation{Instance: m.Instance, Born: m.Born}, m.DrainStart)
 	}
@@ -52,14 +54,15 @@
 	return members
 }
 
-// Forget removes a member and closes the connection to it.
-func (p *Proxy) Forget(node string) {
-	p.dispatcher.WithBalancer(func(b *balancer.Balancer) {
-		if m, known := b.Member(node); known {
-			p.forwarder.Forget(m.Address)
-		}
-		b.Remove(node)
-	})
+// Forget removes a member and closes the connection to it, unless its known record is newer
+// than m. It reports whether it did.
+func (p *Proxy) Forget(m balancer.Member) bool {
+	removed := false
+	p.dispatcher.WithBalancer(func(b *balancer.Balancer) { removed = b.Remove(m) })
+	if removed {
+		p.forwarder.Forget(m.Address)
+	}
+	return removed
 }
 
 // publishSelf publishes a new version of this node's member record.
--- a/internal/proxy/finder/finder.go
+++ b/internal/proxy/finder/finder.go
@@ -35,9 +35,14 @@
 	earlyReads = 3
 	// peerTimeout is the timeout of one message to another node and its reply.
 	peerTimeout = 2 * time.Second
+	// firstSeedsTimeout bounds how long a new node queries the seeds before it is ready.
+	firstSeedsTimeout = 2 * time.Second
 	// firstHeartbeatTimeout is how long a new node waits for the first heartbeat of its
 	// upstream before it registers without one.
 	firstHeartbeatTimeout = 4 * time.Second
+	// removalTTL is how long the removal of a member is remembered. It exceeds leaseTTL, the
+	// age of a copy that the store may come back from and that of a stale read together.
+	removalTTL = time.Minute
 )
 
 // Directory holds the member records of the node.
@@ -49,8 +54,9 @@
 	UpdateMember(m balancer.Member) bool
 	// Members returns the records of the known members. It may include the node's own.
 	Members() []balancer.Member
-	// Forget removes the record of a member.
-	Forget(node string)
+	// Forget removes a member unless its known record is newer than m, and reports whether
+	// it did.
+	Forget(m balancer.Member) bool
 }
 
 // Messenger sends messages to other nodes.
@@ -72,7 +78,8 @@
 	RegistrationRegained()
 	// MemberFound is called for a new or newer record; source is "store", "peer" or "seed".
 	MemberFound(m balancer.Member, source string)
-	// MemberLost is called when a member without an entry is unresponsive and was removed.
+	// MemberLost is called when a member was removed, because it has no entry and is
+	// unresponsive or because another process replies at its address.
 	MemberLost(m balancer.Member)
 	// EntryUnusable is called for an entry that is not a member record; err is nil if only
 	// a required field is missing.
@@ -85,7 +92,8 @@
 	Directory Directory
 	Messenger Messenger
 	Observe   Observer
-	// Seeds are addresses of nodes to query for members if the store does not respond.
+	// Seeds are addresses of nodes to query for members if the store does not respond, also
+	// before Discovered.
 	Seeds []string
 	// UpstreamKnown is closed when the first heartbeat of the local upstream has arrived.
 	UpstreamKnown <-chan struct{}
@@ -107,10 +115,12 @@
 
 	mu sync.Mutex
 	// acknowledged is the highest sequence of this node's record that each incarnation has
-	// acknowledged.
+	// acknowledged. It does not outgrow the members.
 	acknowledged map[incarnation]uint64
 	// announcing holds the incarnations to which an announcement is in flight.
 	announcing map[incarnation]bool
+	// removed holds the latest removal of each node, for removalTTL.
+	removed    map[string]removal
 	discovered chan struct{}
 	once       sync.Once
 }
@@ -124,15 +134,22 @@
 
 func incarnationOf(m balancer.Member) incarnation { return incarnation{node: m.Node, start: m.Start} }
 
+// removal is the removal of an unresponsive member.
+type removal struct {
+	start int64
+	at    time.Time
+}
+
 // New returns a finder that has announced nothing yet.
 func New(config Config) *Finder {
 	return &Finder{
 		config: config, trigger: make(chan struct{}, 1), acknowledged: map[incarnation]uint64{}, announcing: map[incarnation]bool{},
-		discovered: make(chan struct{}),
+		removed: map[string]removal{}, discovered: make(chan struct{}),
 	}
 }
 
-// Discovered returns a channel that is closed after the first attempt to read the entries.
+// Discovered returns a channel that is closed after the first attempt to read the entries,
+// or to query the seeds instead.
 func (f *Finder) Discovered() <-chan struct{} { return f.discovered }
 
 // AnnounceNow starts a round without delay, in which the node announces its changed
@@ -149,9 +166,9 @@
 func (f *Finder) Run(ctx context.Context) {
 	if err := f.read(ctx); err != nil {
 		f.storeFailed(err)
-	}
-	if len(f.config.Directory.Members()) == 0 {
-		f.querySeeds(ctx)
+		seedsCtx, cancel := context.WithTimeout(ctx, firstSeedsTimeout)
+		f.querySeeds(seedsCtx)
+		cancel()
 	}
 	f.once.Do(func() { close(f.discovered) })
 	select {
@@ -268,12 +285,48 @@
 			continue
 		}
 		listed[m.Node] = true
-		f.updateMember(m, "store")
+		f.updateRelayed(ctx, m, "store")
 	}
 	f.probeUnlisted(ctx, listed)
 	return nil
 }
 
+// updateRelayed updates a member from a record that did not come from the member itself. The
+// record of a removed incarnation may be a relic, so that member must reply first.
+func (f *Finder) updateRelayed(ctx context.Context, m balancer.Member, source string) {
+	if !f.wasRemoved(m) {
+		f.updateMember(m, source)
+		return
+	}
+	f.announceTo(ctx, m, f.config.Directory.Self())
+}
+
+// wasRemoved reports whether the incarnation of a record, or a later one of its node, was
+// removed and has not replied since.
+func (f *Finder) wasRemoved(m balancer.Member) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r, known := f.removed[m.Node]
+	return known && m.Start <= r.start && time.Since(r.at) < removalTTL
+}
+
+// remove removes an unresponsive or replaced member, unless a newer record of it has arrived.
+func (f *Finder) remove(m balancer.Member) {
+	if !f.config.Directory.Forget(m) {
+		return
+	}
+	f.mu.Lock()
+	for node, r := range f.removed {
+		if time.Since(r.at) >= removalTTL {
+			delete(f.removed, node)
+		}
+	}
+	f.removed[m.Node] = removal{start: m.Start, at: time.Now()}
+	delete(f.acknowledged, incarnationOf(m))
+	f.mu.Unlock()
+	f.config.Observe.MemberLost(m)
+}
+
 func (f *Finder) updateMember(m balancer.Member, source string) {
 	if m.Node == f.config.Directory.Self().Node {
 		return
@@ -295,8 +348,7 @@
 			if f.announce(ctx, m, own) {
 				return
 			}
-			f.config.Directory.Forget(m.Node)
-			f.config.Observe.MemberLost(m)
+			f.remove(m)
 		}()
 	}
 }
@@ -304,20 +356,46 @@
 // announceAll announces the node's own record to every member that has not acknowledged
 // it yet. It does not wait for the replies.
 func (f *Finder) announceAll(ctx context.Context) {
-	own := f.config.Directory.Self()
-	for _, m := range f.config.Directory.Members() {
-		if m.Node == own.Node || !f.beginAnnouncement(incarnationOf(m), own.Sequence) {
-			continue
+	own, members := f.config.Directory.Self(), f.config.Directory.Members()
+	f.dropFormer(members)
+	for _, m := range members {
+		if m.Node != own.Node {
+			f.announceTo(ctx, m, own)
 		}
-		go func() {
-			f.announce(ctx, m, own)
-			f.mu.Lock()
-			delete(f.announcing, incarnationOf(m))
-			f.mu.Unlock()
-		}()
 	}
 }
 
+// dropFormer drops the acknowledgements of incarnations that are no members any more, once
+// there are as many acknowledgements as members. Only the node itself has none.
+func (f *Finder) dropFormer(members []balancer.Member) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.acknowledged) < len(members) {
+		return
+	}
+	kept := make(map[incarnation]uint64, len(members))
+	for _, m := range members {
+		if sequence, known := f.acknowledged[incarnationOf(m)]; known {
+			kept[incarnationOf(m)] = sequence
+		}
+	}
+	f.acknowledged = kept
+}
+
+// announceTo announces the node's own record to a member if that has not acknowledged it yet
+// and no announcement is in flight. It does not wait for the reply.
+func (f *Finder) announceTo(ctx context.Context, m, own balancer.Member) {
+	if !f.beginAnnouncement(incarnationOf(m), own.Sequence) {
+		return
+	}
+	go func() {
+		f.announce(ctx, m, own)
+		f.mu.Lock()
+		delete(f.announcing, incarnationOf(m))
+		f.mu.Unlock()
+	}()
+}
+
 // beginAnnouncement reports whether an announcement to a member is due and none is in flight.
 // If so, it marks one as in flight.
 func (f *Finder) beginAnnouncement(to incarnation, sequence uint64) bool {
@@ -339,15 +417,21 @@
 	if err != nil {
 		return false
 	}
+	if reply.Node != m.Node || reply.Start < m.Start {
+		// Whatever the clocks say, the process that replies is the later one.
+		f.remove(m)
+	}
 	f.Acknowledged(reply, own)
 	f.updateMember(reply, "peer")
 	return true
 }
 
-// Acknowledged records that a member has the node's own record.
+// Acknowledged records that a member, which has just replied or announced itself, has the
+// node's own record.
 func (f *Finder) Acknowledged(m, own balancer.Member) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	delete(f.removed, m.Node)
 	f.acknowledged[incarnationOf(m)] = max(f.acknowledged[incarnationOf(m)], own.Sequence)
 }
 
@@ -362,7 +446,7 @@
 			continue
 		}
 		for _, m := range members {
-			f.updateMember(m, "seed")
+			f.updateRelayed(ctx, m, "seed")
 		}
 		return
 	}
