connector, reporter: the era of the store is read, logged and measured

No line told whether the store had come back from an older copy. Now each response's era is read; a later one than before writes storeRestored and sets tamarackscale_store_era. No logic changed.

--- a/internal/observe/reporter/reporter.go
+++ b/internal/observe/reporter/reporter.go
@@ -16,6 +16,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/sirupsen/logrus"
 
+	"github.com/tamarackscale/tamarackscale/internal/platform/keeper"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/acceptor"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/balancer"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
@@ -50,6 +51,7 @@
 	attempts     *prometheus.CounterVec
 	unanswered   *prometheus.CounterVec
 	storeCalls   *prometheus.CounterVec
+	storeEra     prometheus.Gauge
 	version      prometheus.Gauge
 	unknownKinds prometheus.Gauge
 	rejected     prometheus.Gauge
@@ -86,11 +88,12 @@
 	r.attempts = counter("tamarackscale_hand_overs_total", "Hand-overs by how they ended.", "service", "outcome", "reason")
 	r.unanswered = counter("tamarackscale_unanswered_calls_total", "Calls that were read and got no response, by cause.", "cause")
 	r.storeCalls = counter("tamarackscale_store_calls_total", "Calls to the platform's store.", "operation", "result")
+	r.storeEra = gauge("tamarackscale_store_era", "Latest era that a response of the store has stated.")
 	r.version = gauge("tamarackscale_configuration_version", "Configuration version in force.")
 	r.unknownKinds = gauge("tamarackscale_configuration_unknown_kinds", "Routes in force of a kind that this release does not know.")
 	r.rejected = gauge("tamarackscale_configuration_rejected", "1 if the store's newest configuration can't be decoded, else 0.")
 	r.registry.MustRegister(
-		r.callTime, r.upstreamTime, r.queueTime, r.endedCalls, r.attempts, r.unanswered, r.storeCalls, r.version, r.unknownKinds, r.rejected,
+		r.callTime, r.upstreamTime, r.queueTime, r.endedCalls, r.attempts, r.unanswered, r.storeCalls, r.storeEra, r.version, r.unknownKinds, r.rejected,
 	)
 	return r
 }
@@ -297,6 +300,18 @@
 	r.storeCalls.WithLabelValues(operation, result).Inc()
 }
 
+// StoreEra records the era of the store. It logs that the store has come back from an older copy,
+// unless the era is the first one that the process has seen.
+func (r *Reporter) StoreEra(era, former keeper.Era) {
+	r.storeEra.Set(float64(era))
+	if former == 0 {
+		return
+	}
+	r.log.WithFields(logrus.Fields{
+		"event": "storeRestored", "era": era, "former": former,
+	}).Warn("store has come back from an older copy and lost its latest writes")
+}
+
 // Registered implements finder.Observer. It logs the number of known members.
 func (r *Reporter) Registered(members int) {
 	r.log.WithFields(logrus.Fields{"event": "registered", "members": members}).Info("node registered")
--- a/internal/platform/keeper/events.go
+++ b/internal/platform/keeper/events.go
@@ -5,6 +5,11 @@
 	"time"
 )
 
+// Era counts how often the store has come back from an older copy of its state. It has then
+// lost the latest writes and leases and gives their revisions and IDs out again, so those of
+// different eras can't be compared. Zero is unknown.
+type Era int64
+
 // Event is one write or deletion of a key.
 type Event struct {
 	Item
--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -133,7 +133,7 @@
 		DisableCompression: true, MaxIdleConnsPerHost: 2,
 	}
 	store := connector.New(connector.Config{
-		Address: s.Platform.Address, Timeout: storeTimeout, Observe: p.telemetry.StoreCall,
+		Address: s.Platform.Address, Timeout: storeTimeout, Observe: p.telemetry.StoreCall, EraBegan: p.telemetry.StoreEra,
 	}, p.transport)
 	p.finder = finder.New(finder.Config{
 		Store: store, Directory: p, Messenger: p.forwarder, Observe: p.telemetry,
