subscriber, connector: positions of the store have an era and are compared only within one

What callers would see after the store has come back from an older copy: a confirmed version is not in force, without end, unless a later one is written or a call meets a node that has it.

Cause: revisions were compared across eras, in three places: by the store, for a watch that resumes (the number exists again, so no 410); by the maximum of the known revision and the one that a relay passes on; by a relay that takes over with a passed-on revision. Ruled out: that the version in force goes back (it is compared by version; TestVersionInForceOutlivesItsLossInStore passes before and after).

Now keeper.Position has era and revision. A watch whose response is of another era than its position is void (HistoryLostError with the present era), and the whole configuration is read; positions of former eras, which relays may still pass on, count no more; the node doesn't wait for its turn a second time. Between nodes the position travels in the same field, packed, so that releases with and without eras understand each other.

Before: TestVersionAtRevisionOfFormerEraReachesNodes (six cases) Expected 5, actual 1; TestNodeStartedBehindRelaysOfFormerEraFollowsStore and TestRelayThatTakesOverAfterRestoreMissesNoVersion Expected 6, actual 5. In 'between two watches' the store is not away at all; the version is in force 2.0 s later, when the watch in progress ends.

--- a/internal/platform/keeper/events.go
+++ b/internal/platform/keeper/events.go
@@ -10,6 +10,20 @@
 // different eras can't be compared. Zero is unknown.
 type Era int64
 
+// Position is a point in the history of the store.
+type Position struct {
+	Era      Era
+	Revision Revision
+}
+
+// Before reports whether p is earlier than other.
+func (p Position) Before(other Position) bool {
+	if p.Era != other.Era {
+		return p.Era < other.Era
+	}
+	return p.Revision < other.Revision
+}
+
 // Event is one write or deletion of a key.
 type Event struct {
 	Item
@@ -17,19 +31,19 @@
 	Deleted bool
 }
 
-// Events is the result of Watch: the events after a revision.
+// Events is the result of Watch: the events after a position.
 type Events struct {
 	List []Event
-	// Revision is to be passed to the next call.
-	Revision Revision
+	// Position is to be passed to the next call.
+	Position Position
 }
 
 // Snapshot holds the items below a prefix. If the store returned them in several
 // pages, they need not all be of the same revision.
 type Snapshot struct {
 	Items []Item
-	// Revision is to be passed to the first Watch, which then misses no event.
-	Revision Revision
+	// Position is to be passed to the first Watch, which then misses no event.
+	Position Position
 }
 
 // Write sets one key in a transaction.
@@ -66,15 +80,16 @@
 // EventStore is a key-value service that retains the recent history of its keys and
 // supports transactions. Its errors are those of Store and *HistoryLostError.
 type EventStore interface {
-	// Read returns one item and the store's revision. The error is a *NotFoundError if
+	// Read returns one item and the store's position. The error is a *NotFoundError if
 	// the key does not exist.
-	Read(ctx context.Context, key string) (Item, Revision, error)
+	Read(ctx context.Context, key string) (Item, Position, error)
 	// Range returns the items below prefix in ascending order of their keys.
 	Range(ctx context.Context, prefix string, c Consistency) (Snapshot, error)
 	// Watch waits for events below prefix that are newer than after, or until wait
 	// has elapsed, in which case Events.List is empty. The error is a *HistoryLostError
-	// if the events after that revision are no longer retained.
-	Watch(ctx context.Context, prefix string, after Revision, wait time.Duration) (Events, error)
+	// if the events after that position are no longer retained, or if the store is in
+	// another era, whatever it retains.
+	Watch(ctx context.Context, prefix string, after Position, wait time.Duration) (Events, error)
 	// Commit applies a transaction and returns its revision. The error is a
 	// *ConflictError if a condition does not hold.
 	Commit(ctx context.Context, t Transaction) (Revision, error)
--- a/internal/platform/keeper/keeper.go
+++ b/internal/platform/keeper/keeper.go
@@ -103,10 +103,14 @@
 // Unwrap returns the cause.
 func (e *UnknownOutcomeError) Unwrap() error { return e.Cause }
 
-// HistoryLostError reports that the events after a revision are no longer retained;
-// the reader must start again from a snapshot.
-type HistoryLostError struct{ After Revision }
+// HistoryLostError reports that the events after a position are no longer retained or have
+// never been part of the store's present era; the reader must start again from a snapshot.
+type HistoryLostError struct {
+	After Position
+	// Era is the store's present era.
+	Era Era
+}
 
 func (e *HistoryLostError) Error() string {
-	return fmt.Sprintf("the platform no longer retains the history after revision %d", e.After)
+	return fmt.Sprintf("the platform does not retain the history after revision %d of era %d in era %d", e.After.Revision, e.After.Era, e.Era)
 }
--- a/internal/proxy/forwarder/messages.go
+++ b/internal/proxy/forwarder/messages.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/tamarackscale/tamarackscale/internal/platform/keeper"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/balancer"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/encoder"
@@ -78,10 +79,26 @@
 	encoder.Message
 	// Start is the start time of the replying process, in Unix nanoseconds.
 	Start int64
-	// Revision is the store revision up to which the replying node's version is known to
-	// be the newest.
+	// Revision is the position of the store up to which the replying node's version is known
+	// to be the newest, as Pack returns it.
 	Revision int64
 	// Subscribed reports whether the replying node receives changes itself, from the
 	// store or from a relay.
 	Subscribed bool
 }
+
+// revisionBits is the number of bits of a packed position that hold the revision.
+const revisionBits = 48
+
+// Pack returns a position as one number, in the order of positions. A release that does not
+// know eras takes the number for a revision, which the store does not have, and reads the
+// whole configuration instead.
+func Pack(p keeper.Position) int64 { return int64(p.Era)<<revisionBits | int64(p.Revision) }
+
+// Position returns the position that Revision holds. Its era is 0 if the reply is of a release
+// that does not know eras.
+func (r *ConfigurationReply) Position() keeper.Position {
+	return keeper.Position{
+		Era: keeper.Era(r.Revision >> revisionBits), Revision: keeper.Revision(r.Revision & (1<<revisionBits - 1)),
+	}
+}
--- a/internal/proxy/subscriber/exchange.go
+++ b/internal/proxy/subscriber/exchange.go
@@ -29,10 +29,10 @@
 
 // applyReply brings a newer configuration from another node into force. If a patch does
 // not yield the version that was encoded, applyReply requests the whole configuration. A
-// reply without a newer version confirms the one in force up to the reply's revision.
+// reply without a newer version confirms the one in force up to the reply's position.
 func (s *Subscriber) applyReply(ctx context.Context, r Relay, reply forwarder.ConfigurationReply, source string) {
 	if reply.Version == 0 && reply.Subscribed && reply.Revision > 0 {
-		s.setKnownRevision(max(s.knownRevision(), keeper.Revision(reply.Revision)))
+		s.confirm(reply.Position())
 	}
 	if reply.Version <= s.Version() {
 		return
@@ -48,7 +48,7 @@
 			return
 		}
 	}
-	s.apply(data, source, keeper.Revision(reply.Revision))
+	s.apply(data, source, reply.Position())
 }
 
 func (s *Subscriber) decode(m encoder.Message) ([]byte, error) {
@@ -85,17 +85,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return forwarder.ConfigurationReply{
-		Subscribed: s.subscribedLocked(), Revision: int64(s.confirmedRevisionLocked()),
+		Subscribed: s.subscribedLocked(), Revision: forwarder.Pack(s.confirmedPositionLocked()),
 	}
 }
 
-// confirmedRevisionLocked returns the revision up to which the version in force is the
-// newest; 0 if a newer one was rejected. The caller holds s.mu.
-func (s *Subscriber) confirmedRevisionLocked() keeper.Revision {
+// confirmedPositionLocked returns the position up to which the version in force is the
+// newest; zero if a newer one was rejected. The caller holds s.mu.
+func (s *Subscriber) confirmedPositionLocked() keeper.Position {
 	if s.rejected {
-		return 0
+		return keeper.Position{}
 	}
-	return s.revision
+	return s.position
 }
 
 // newerReply returns a reply with the version in force for a node that holds version
@@ -108,6 +108,6 @@
 		s.config.Observe.Unusable("encoder", err)
 	}
 	return forwarder.ConfigurationReply{
-		Message: message, Subscribed: s.subscribedLocked(), Revision: int64(s.confirmedRevisionLocked()),
+		Message: message, Subscribed: s.subscribedLocked(), Revision: forwarder.Pack(s.confirmedPositionLocked()),
 	}
 }
--- a/internal/proxy/subscriber/store.go
+++ b/internal/proxy/subscriber/store.go
@@ -24,7 +24,7 @@
 	}
 	s.applyEvents(newest)
 	for {
-		events, err := s.watch(ctx, s.knownRevision())
+		events, err := s.watch(ctx, s.knownPosition())
 		if err != nil {
 			return err
 		}
@@ -39,22 +39,22 @@
 }
 
 // catchUp returns the store's version, as an event, if it may be newer than the one in
-// force. A node with a known revision requests only the events after it: if every node read
+// force. A node with a known position requests only the events after it: if every node read
 // the whole configuration when the store is back, their links would be saturated.
 func (s *Subscriber) catchUp(ctx context.Context) (keeper.Events, error) {
-	if revision := s.knownRevision(); revision > 0 {
-		return s.config.Store.Watch(ctx, s.config.Key, revision, minWatchTimeout)
+	if position := s.knownPosition(); position.Revision > 0 {
+		return s.config.Store.Watch(ctx, s.config.Key, position, minWatchTimeout)
 	}
-	item, revision, err := s.config.Store.Read(ctx, s.config.Key)
+	item, position, err := s.config.Store.Read(ctx, s.config.Key)
 	var missing *keeper.NotFoundError
 	if errors.As(err, &missing) {
-		return keeper.Events{Revision: revision}, nil
+		return keeper.Events{Position: position}, nil
 	}
 	if err != nil {
 		return keeper.Events{}, err
 	}
 	item.Key = s.config.Key
-	return keeper.Events{List: []keeper.Event{{Item: item}}, Revision: revision}, nil
+	return keeper.Events{List: []keeper.Event{{Item: item}}, Position: position}, nil
 }
 
 // minWatchTimeout is the timeout of a watch that returns only existing events.
@@ -64,20 +64,20 @@
 func (s *Subscriber) applyEvents(events keeper.Events) {
 	for i := len(events.List) - 1; i >= 0; i-- {
 		if event := events.List[i]; event.Key == s.config.Key && !event.Deleted {
-			s.apply(event.Value, storeSource, events.Revision)
+			s.apply(event.Value, storeSource, events.Position)
 			break
 		}
 	}
-	s.setKnownRevision(events.Revision)
+	s.confirm(events.Position)
 }
 
 // errHinted is the cause that cancels a watch when another node has a newer version.
 var errHinted = errors.New("another node has a newer version")
 
-// watch waits for changes after a revision. A hint that is not followed by an event of
+// watch waits for changes after a position. A hint that is not followed by an event of
 // the store within coalesceDelay ends it with a HistoryLostError, since the watch may no
 // longer deliver events. The configuration is then read again.
-func (s *Subscriber) watch(ctx context.Context, after keeper.Revision) (keeper.Events, error) {
+func (s *Subscriber) watch(ctx context.Context, after keeper.Position) (keeper.Events, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	done := make(chan struct{})
@@ -96,21 +96,36 @@
 	}()
 	events, err := s.config.Store.Watch(ctx, s.config.Key, after, watchTimeout)
 	if err != nil && errors.Is(context.Cause(ctx), errHinted) {
-		return events, &keeper.HistoryLostError{After: after}
+		return events, &keeper.HistoryLostError{After: after, Era: after.Era}
 	}
 	return events, err
 }
 
-// setKnownRevision records the store revision up to which the version in force is the
-// newest; 0 is unknown.
-func (s *Subscriber) setKnownRevision(revision keeper.Revision) {
+// confirm records that the version in force is the newest up to a position of the store. An
+// earlier position than the known one changes nothing, since a version never goes back.
+func (s *Subscriber) confirm(position keeper.Position) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.revision = revision
+	s.confirmLocked(position)
 }
 
-func (s *Subscriber) knownRevision() keeper.Revision {
+// confirmLocked is confirm for a caller that holds s.mu.
+func (s *Subscriber) confirmLocked(position keeper.Position) {
+	if s.position.Before(position) {
+		s.position = position
+	}
+}
+
+// forgetPosition makes the next watch begin with the whole configuration. Positions of eras
+// before the given one, which other nodes may still have, count no more.
+func (s *Subscriber) forgetPosition(era keeper.Era) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.position = keeper.Position{Era: max(s.position.Era, era)}
+}
+
+func (s *Subscriber) knownPosition() keeper.Position {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.revision
+	return s.position
 }
--- a/internal/proxy/subscriber/subscriber.go
+++ b/internal/proxy/subscriber/subscriber.go
@@ -138,9 +138,9 @@
 
 	mu      sync.Mutex
 	history encoder.History
-	// revision is the store revision up to which the version in force is known to be the
-	// newest; 0 is unknown.
-	revision keeper.Revision
+	// position is the position of the store up to which the version in force is known to be
+	// the newest; its revision is 0 if that is unknown.
+	position keeper.Position
 	// rejected reports that the node watches the store and can't decode its newest
 	// configuration. Another release may be able to, so the node then does not count as
 	// receiving changes.
@@ -231,31 +231,32 @@
 	}
 	s.awaitRelays(ctx)
 	delay := time.Duration(0)
-	// lostWatch reports that the node followed the store until the last call failed. It then
-	// tries once more before it waits for the relays, which did not serve it before either.
-	lostWatch := false
+	// hasTurn reports that the node calls the store without waiting for the relays first: it
+	// followed the store until the last call failed, so that they did not serve it before
+	// either, or it has to read the whole configuration.
+	hasTurn := false
 	for pauser.Pause(ctx, delay) {
 		delay = rolePollInterval
 		if !s.needsStore() {
 			s.setWatchingStore(false)
 			continue
 		}
-		if (!lostWatch && !pauser.Pause(ctx, s.takeoverDelay())) || !s.needsStore() {
+		if (!hasTurn && !pauser.Pause(ctx, s.takeoverDelay())) || !s.needsStore() {
 			continue
 		}
 		err := s.watchStore(ctx)
-		lostWatch = false
+		hasTurn = false
 		var lost *keeper.HistoryLostError
 		switch {
 		case ctx.Err() != nil:
 			return
 		case errors.As(err, &lost):
-			s.setKnownRevision(0)
-			delay = 0
+			s.forgetPosition(lost.Era)
+			delay, hasTurn = 0, true
 		case err != nil:
 			delay = storeRetryBackoff
-			lostWatch = s.setWatchingStore(false)
-			if lostWatch || s.Version() == 0 {
+			hasTurn = s.setWatchingStore(false)
+			if hasTurn || s.Version() == 0 {
 				s.config.Observe.StoreLost(err)
 			}
 		}
@@ -290,14 +291,14 @@
 }
 
 // apply brings a configuration into force if it is newer than the one in force. The store's
-// value is rejected if it can't be decoded. The revision up to which the configuration is the
+// value is rejected if it can't be decoded. The position up to which the configuration is the
 // newest becomes known in the same step: a node that got the version without it would read
 // the whole configuration from the store.
-func (s *Subscriber) apply(data []byte, source string, revision keeper.Revision) {
+func (s *Subscriber) apply(data []byte, source string, position keeper.Position) {
 	c, err := s.config.Decode(data)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.revision = revision
+	s.confirmLocked(position)
 	if source == storeSource {
 		s.setRejectedLocked(err != nil)
 	}
@@ -327,12 +328,12 @@
 }
 
 // forgetRejected is called when the node no longer watches the store. A rejected value is
-// read again at the next watch, so the revision is unknown until then.
+// read again at the next watch, so the position is unknown until then.
 func (s *Subscriber) forgetRejected() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.rejected {
-		s.revision = 0
+		s.position = keeper.Position{}
 		s.setRejectedLocked(false)
 	}
 }
