finder: a node that restarts with its clock set back is believed

What callers would see: a restarted node gets no calls from other nodes, and calls sent to its former process are refused, until that node restarts once more.

Cause: if its VM's clock was set back beyond the start of its former process, the record of the new process counts as older, in the store and in announcements.

A member whose entry is of a process with a lower start is now probed as one without an entry is, once each read (6 s). Besides after such a restart, that happens after a stale read just after a restart, or while an older copy of the store is in use: one announcement, to which a live process replies, so that it stays.

--- a/internal/proxy/finder/finder.go
+++ b/internal/proxy/finder/finder.go
@@ -277,20 +277,20 @@
 }
 
 // read updates the members from the entries in the store, and probes the members that have
-// none.
+// none or only one of an earlier process.
 func (f *Finder) read(ctx context.Context) error {
 	snapshot, err := f.config.Store.Range(ctx, keyPrefix, keeper.Stale)
 	if err != nil {
 		return err
 	}
-	listed := map[string]bool{}
+	listed := map[string]int64{}
 	for _, item := range snapshot.Items {
 		var m balancer.Member
 		if err := json.Unmarshal(item.Value, &m); err != nil || m.Node == "" || m.Address == "" {
 			f.config.Observe.EntryUnusable(item.Key, err)
 			continue
 		}
-		listed[m.Node] = true
+		listed[m.Node] = m.Start
 		f.updateRelayed(ctx, m, "store")
 	}
 	f.probeUnlisted(ctx, listed)
@@ -343,11 +343,12 @@
 }
 
 // probeUnlisted announces the node to the members that have no entry and removes those that
-// are unresponsive.
-func (f *Finder) probeUnlisted(ctx context.Context, listed map[string]bool) {
+// are unresponsive. Listed holds the start of the process in each node's entry. A process that
+// has an entry with a lower start than the known one may be the later, if its clock was set back.
+func (f *Finder) probeUnlisted(ctx context.Context, listed map[string]int64) {
 	own := f.config.Directory.Self()
 	for _, m := range f.config.Directory.Members() {
-		if listed[m.Node] || m.Node == own.Node {
+		if listed[m.Node] >= m.Start || m.Node == own.Node {
 			continue
 		}
 		go func() {
--- a/internal/proxy/finder/finder_test.go
+++ b/internal/proxy/finder/finder_test.go
@@ -263,6 +263,13 @@
 		time.Sleep(10 * time.Second)
 		So(w.start("former"), ShouldEqual, 4)
 	})
+	acknowledged := func(w *world) { prepare(w); w.processes[former.Address] = former }
+	inWorld(t, "The next process has its entry in the store", acknowledged, func(w *world, _ *Finder) {
+		next := memberOf("former", 4)
+		w.set(func() { w.entries, w.processes[former.Address] = []balancer.Member{next}, next })
+		time.Sleep(10 * time.Second)
+		So(w.start("former"), ShouldEqual, 4)
+	})
 }
 
 // Guards against a node that restarts while the store is down and, though ready, knows no other
