assembler: the record of a drain expires by the clock of the node that keeps it

What callers would see: calls to an upstream whose leaving was acknowledged, if its node restarts and a heartbeat from before the drain arrives late: the other nodes, which keep the drain for that case, have dropped it.

Cause: the age of a record was the difference between the draining node's clock, by which the drain's start is given, and the keeper's. With a clock a minute behind, the record was dropped when the next one arrived; with a clock ahead it was kept for as long as that.

The record now keeps when it was received last. The drain's start is passed on unchanged.

--- a/internal/proxy/assembler/drains.go
+++ b/internal/proxy/assembler/drains.go
@@ -15,7 +15,8 @@
 	drainReplicas = 3
 	// drainReplicaTimeout bounds the calls to these nodes, all together.
 	drainReplicaTimeout = 150 * time.Millisecond
-	// drainRecordTTL is how long the record of a drain is kept for other nodes.
+	// drainRecordTTL is how long the record of a drain is kept for other nodes after it was
+	// received last.
 	drainRecordTTL = time.Minute
 )
 
@@ -24,27 +25,36 @@
 // which may still arrive, would make the upstream take calls again. The other nodes
 // therefore keep the records for it.
 type drainRecords struct {
-	mu sync.Mutex
-	// since holds the starts of the drains, in Unix milliseconds.
-	since map[tracker.Incarnation]int64
+	mu    sync.Mutex
+	known map[tracker.Incarnation]drainRecord
 }
 
-func newDrainRecords() *drainRecords { return &drainRecords{since: map[tracker.Incarnation]int64{}} }
+// drainRecord is the start of a drain, in Unix milliseconds by the clock of the draining node,
+// and when it was received last, by this node's.
+type drainRecord struct {
+	since      int64
+	receivedAt time.Time
+}
+
+func newDrainRecords() *drainRecords {
+	return &drainRecords{known: map[tracker.Incarnation]drainRecord{}}
+}
 
 // record stores since when an upstream drains, in Unix milliseconds. The first value
 // recorded for an incarnation is kept. Records older than drainRecordTTL are dropped.
 func (d *drainRecords) record(incarnation tracker.Incarnation, since int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	oldest := time.Now().Add(-drainRecordTTL).UnixMilli()
-	for other, known := range d.since {
-		if known < oldest {
-			delete(d.since, other)
+	now := time.Now()
+	for other, r := range d.known {
+		if now.Sub(r.receivedAt) > drainRecordTTL {
+			delete(d.known, other)
 		}
 	}
-	if _, known := d.since[incarnation]; !known {
-		d.since[incarnation] = since
+	if r, known := d.known[incarnation]; known {
+		since = r.since
 	}
+	d.known[incarnation] = drainRecord{since: since, receivedAt: now}
 }
 
 // lookup returns since when an upstream drains, in Unix milliseconds; 0 if there is no
@@ -52,7 +62,7 @@
 func (d *drainRecords) lookup(incarnation tracker.Incarnation) int64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.since[incarnation]
+	return d.known[incarnation].since
 }
 
 // DrainingSince implements forwarder.Node.
