--- a/internal/proxy/finder/finder.go
+++ b/internal/proxy/finder/finder.go
@@ -107,9 +107,9 @@
 
 	// lease is the lease of the node's entry; 0 if there is none.
 	lease keeper.LeaseID
-	// registeredInstance is the instance of the upstream in the node's entry.
-	registeredInstance string
-	storeFailing       bool
+	// registered is the record in the node's entry.
+	registered   balancer.Member
+	storeFailing bool
 	// earlyReadsLeft is the number of early reads still to be done.
 	earlyReadsLeft int
 
@@ -208,7 +208,9 @@
 	}
 }
 
-// round renews the lease, writes the node's entry if necessary and reads the other entries.
+// round renews the lease, reads the other entries, and writes the node's own if there is none
+// or if it names another instance or another state of its drain. Other changes are only
+// announced, which spares the store.
 func (f *Finder) round(ctx context.Context, round int) error {
 	if round%renewRounds == 0 && f.lease != 0 {
 		if err := f.renew(ctx); err != nil {
@@ -216,7 +218,7 @@
 		}
 	}
 	own := f.config.Directory.Self()
-	if f.lease == 0 || f.registeredInstance != own.Instance {
+	if f.lease == 0 || f.registered.Instance != own.Instance {
 		if err := f.register(ctx, own); err != nil {
 			return err
 		}
@@ -224,6 +226,10 @@
 		f.earlyReadsLeft = earlyReads
 		return nil
 	}
+	if f.registered.Draining != own.Draining || f.registered.DrainStart != own.DrainStart {
+		// The node stays registered if this fails. The next round tries again.
+		_ = f.register(ctx, own)
+	}
 	if f.earlyReadsLeft > 0 || round%readRounds == 0 {
 		f.earlyReadsLeft = max(0, f.earlyReadsLeft-1)
 		return f.read(ctx)
@@ -266,25 +272,25 @@
 	if err != nil {
 		return err
 	}
-	f.registeredInstance = own.Instance
+	f.registered = own
 	return nil
 }
 
 // read updates the members from the entries in the store, and probes the members that have
-// none.
+// none or only one of an earlier process.
 func (f *Finder) read(ctx context.Context) error {
 	snapshot, err := f.config.Store.Range(ctx, keyPrefix, keeper.Stale)
 	if err != nil {
 		return err
 	}
-	listed := map[string]bool{}
+	listed := map[string]int64{}
 	for _, item := range snapshot.Items {
 		var m balancer.Member
 		if err := json.Unmarshal(item.Value, &m); err != nil || m.Node == "" || m.Address == "" {
 			f.config.Observe.EntryUnusable(item.Key, err)
 			continue
 		}
-		listed[m.Node] = true
+		listed[m.Node] = m.Start
 		f.updateRelayed(ctx, m, "store")
 	}
 	f.probeUnlisted(ctx, listed)
@@ -337,11 +343,12 @@
 }
 
 // probeUnlisted announces the node to the members that have no entry and removes those that
-// are unresponsive.
-func (f *Finder) probeUnlisted(ctx context.Context, listed map[string]bool) {
+// are unresponsive. Listed holds the start of the process in each node's entry. A process that
+// has an entry with a lower start than the known one may be the later, if its clock was set back.
+func (f *Finder) probeUnlisted(ctx context.Context, listed map[string]int64) {
 	own := f.config.Directory.Self()
 	for _, m := range f.config.Directory.Members() {
-		if listed[m.Node] || m.Node == own.Node {
+		if listed[m.Node] >= m.Start || m.Node == own.Node {
 			continue
 		}
 		go func() {
