finder, connector: a lease of a former era does not exist

What an operator would see: a node that is in no list for good, so that nodes which start don't find it and its upstream gets fewer calls. Cause: lease IDs are given out again after the store has come back from an older copy. A node whose lease is gone renewed another node's under the same ID, with success, and never wrote its entry again.

Now a lease has its era, and a renewal or a write that was answered in another one counts as 'no such lease': the node takes a new one and writes its entry. That costs two writes a node and return of the store, spread by the interval of renewals.

Its set-up now makes sure that the second node gets the ID (other nodes re-register too now, and a first heartbeat may be a second late); what it checks is unchanged.

Removed, since no program needs it and it would act on the wrong lease or revision: Revoke, and the conditions and deletes of a transaction.

--- a/internal/platform/keeper/events.go
+++ b/internal/platform/keeper/events.go
@@ -24,6 +24,16 @@
 	return p.Revision < other.Revision
 }
 
+// Lease is a lease with the era that it belongs to. In another era it does not exist, although
+// its ID may have been given out again.
+type Lease struct {
+	ID  LeaseID
+	Era Era
+	// TTL is how long the lease lasts, measured from when the platform received the call that
+	// granted or renewed it.
+	TTL time.Duration
+}
+
 // Event is one write or deletion of a key.
 type Event struct {
 	Item
@@ -50,22 +60,13 @@
 type Write struct {
 	Key   string
 	Value []byte
-	// Lease is the lease that the key expires with; zero means none.
-	Lease LeaseID
-}
-
-// Condition requires a key to have a revision. Zero requires that it does not exist.
-type Condition struct {
-	Key      string
-	Revision Revision
+	// Lease is the lease that the key expires with; one with ID zero means none.
+	Lease Lease
 }
 
-// Transaction is applied atomically if every condition holds, otherwise not at all.
-type Transaction struct {
-	Conditions []Condition
-	Writes     []Write
-	Deletes    []string
-}
+// Transaction is a set of writes that is applied as a whole. It has no conditions: one on a
+// revision of a former era could hold by chance.
+type Transaction struct{ Writes []Write }
 
 // Consistency selects how current the result of a read is.
 type Consistency bool
@@ -90,14 +91,13 @@
 	// if the events after that position are no longer retained, or if the store is in
 	// another era, whatever it retains.
 	Watch(ctx context.Context, prefix string, after Position, wait time.Duration) (Events, error)
-	// Commit applies a transaction and returns its revision. The error is a
-	// *ConflictError if a condition does not hold.
-	Commit(ctx context.Context, t Transaction) (Revision, error)
-	// Lease grants a lease and returns its ID and how long it lasts, measured from
-	// when the platform received the call.
-	Lease(ctx context.Context, ttl time.Duration) (LeaseID, time.Duration, error)
-	// Renew extends a lease. The error is a *NotFoundError if it has expired.
-	Renew(ctx context.Context, lease LeaseID) error
-	// Revoke ends a lease and deletes the keys bound to it.
-	Revoke(ctx context.Context, lease LeaseID) error
+	// Commit applies a transaction. The error is a *NotFoundError if a lease has ended or is
+	// of another era. In the latter case the keys may be bound to another's lease, and must
+	// be written again.
+	Commit(ctx context.Context, t Transaction) error
+	// Lease grants a lease.
+	Lease(ctx context.Context, ttl time.Duration) (Lease, error)
+	// Renew extends a lease. The error is a *NotFoundError if it has expired or is of another
+	// era.
+	Renew(ctx context.Context, lease Lease) error
 }
--- a/internal/proxy/assembler/restore_test.go
+++ b/internal/proxy/assembler/restore_test.go
@@ -267,12 +267,16 @@
 		time.Sleep(6 * time.Second)
 		lease := m.Store.Lease(entryPrefix + first.Name)
 		So(lease, ShouldNotEqual, 0)
-		// The others get there first.
-		cutFromStore(m, func(node string) bool { return node == first.Name })
+		// The second node gets there first.
+		started := len(m.Nodes)
+		cutFromStore(m, func(node string) bool {
+			return slices.ContainsFunc(m.Nodes[:started], func(n *mesh.Node) bool { return n.Name == node })
+		})
 		m.Store.Restore(c)
 		second, err := m.Add("y", "a", 2)
 		So(err, ShouldBeNil)
-		time.Sleep(100 * time.Millisecond)
+		// Its upstream's first heartbeat may be too early to reach it.
+		time.Sleep(2 * time.Second)
 		So(m.Store.Lease(entryPrefix+second.Name), ShouldEqual, lease)
 		m.Network.Cut(nil)
 		staysListed(m, first, second)
--- a/internal/proxy/finder/finder.go
+++ b/internal/proxy/finder/finder.go
@@ -105,8 +105,8 @@
 	// trigger starts the next round without delay.
 	trigger chan struct{}
 
-	// lease is the lease of the node's entry; 0 if there is none.
-	lease keeper.LeaseID
+	// lease is the lease of the node's entry; its ID is 0 if there is none.
+	lease keeper.Lease
 	// registered is the record in the node's entry.
 	registered   balancer.Member
 	storeFailing bool
@@ -212,13 +212,13 @@
 // or if it names another instance or another state of its drain. Other changes are only
 // announced, which spares the store.
 func (f *Finder) round(ctx context.Context, round int) error {
-	if round%renewRounds == 0 && f.lease != 0 {
+	if round%renewRounds == 0 && f.lease.ID != 0 {
 		if err := f.renew(ctx); err != nil {
 			return err
 		}
 	}
 	own := f.config.Directory.Self()
-	if f.lease == 0 || f.registered.Instance != own.Instance {
+	if f.lease.ID == 0 || f.registered.Instance != own.Instance {
 		if err := f.register(ctx, own); err != nil {
 			return err
 		}
@@ -237,13 +237,13 @@
 	return nil
 }
 
-// renew renews the lease. A lease that has expired is dropped without an error, so that the
-// node registers again.
+// renew renews the lease. A lease that has expired, or was lost with the store's latest writes,
+// is dropped without an error, so that the node registers again.
 func (f *Finder) renew(ctx context.Context) error {
 	err := f.config.Store.Renew(ctx, f.lease)
 	var notFound *keeper.NotFoundError
 	if errors.As(err, &notFound) {
-		f.lease = 0
+		f.lease = keeper.Lease{}
 		return nil
 	}
 	return err
@@ -251,8 +251,8 @@
 
 // register writes the node's entry under its lease, and first obtains a lease if there is none.
 func (f *Finder) register(ctx context.Context, own balancer.Member) error {
-	if f.lease == 0 {
-		lease, _, err := f.config.Store.Lease(ctx, leaseTTL)
+	if f.lease.ID == 0 {
+		lease, err := f.config.Store.Lease(ctx, leaseTTL)
 		if err != nil {
 			return err
 		}
@@ -262,12 +262,12 @@
 	if err != nil {
 		return err
 	}
-	_, err = f.config.Store.Commit(ctx, keeper.Transaction{
+	err = f.config.Store.Commit(ctx, keeper.Transaction{
 		Writes: []keeper.Write{{Key: keyPrefix + own.Node, Value: value, Lease: f.lease}},
 	})
 	var notFound *keeper.NotFoundError
 	if errors.As(err, &notFound) {
-		f.lease = 0
+		f.lease = keeper.Lease{}
 	}
 	if err != nil {
 		return err
--- a/internal/proxy/finder/finder_test.go
+++ b/internal/proxy/finder/finder_test.go
@@ -156,21 +156,21 @@
 	return s, nil
 }
 
-func (w *world) Lease(context.Context, time.Duration) (keeper.LeaseID, time.Duration, error) {
-	return 1, leaseTTL, nil
+func (w *world) Lease(context.Context, time.Duration) (keeper.Lease, error) {
+	return keeper.Lease{ID: 1, TTL: leaseTTL}, nil
 }
 
-func (w *world) Renew(context.Context, keeper.LeaseID) error { return nil }
+func (w *world) Renew(context.Context, keeper.Lease) error { return nil }
 
-func (w *world) Commit(_ context.Context, t keeper.Transaction) (keeper.Revision, error) {
+func (w *world) Commit(_ context.Context, t keeper.Transaction) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var m balancer.Member
 	if err := json.Unmarshal(t.Writes[0].Value, &m); err != nil || w.refuseWrites {
-		return 0, errSilent
+		return errSilent
 	}
 	w.written = append(w.written, m)
-	return 1, nil
+	return nil
 }
 
 // writes returns the node's entries that were written.
