finder: an entry that the store has lost is written again, under a new lease

What callers would see: after a drill, a node that registered in the seconds that the store lost is unknown to nodes that start, until it has read their entries (up to 6 s) and announced itself; and every other node probes it at every read, for good.

Cause: a lease that the store lost is normally found at its renewal (404) and replaced. But the store may give its number out again; if that is another node's lease by then, renewals succeed, and the node never looked whether its entry is there. The same after a write of unknown outcome that is carried out late: the older entry stayed. By reading; whether the platform's store gives leases out again was not measured.

Each read shows the own entry anyway. If it is not the record written last, and that was written longer ago than a stale read can be (10 s), the next round takes a new lease and writes it. The former lease is left to end by itself, since it may be another's.

--- a/internal/proxy/finder/finder.go
+++ b/internal/proxy/finder/finder.go
@@ -40,8 +40,10 @@
 	// firstHeartbeatTimeout is how long a new node waits for the first heartbeat of its
 	// upstream before it registers without one.
 	firstHeartbeatTimeout = 4 * time.Second
+	// staleAge is the age that no stale read exceeds.
+	staleAge = 10 * time.Second
 	// removalTTL is how long the removal of a member is remembered. It exceeds leaseTTL, the
-	// age of a copy that the store may come back from and that of a stale read together.
+	// age of a copy that the store may come back from and staleAge together.
 	removalTTL = time.Minute
 )
 
@@ -108,7 +110,9 @@
 	// lease is the lease of the node's entry; 0 if there is none.
 	lease keeper.LeaseID
 	// registered is the record in the node's entry.
-	registered   balancer.Member
+	registered balancer.Member
+	// registeredAt is when that was written.
+	registeredAt time.Time
 	storeFailing bool
 	// earlyReadsLeft is the number of early reads still to be done.
 	earlyReadsLeft int
@@ -272,18 +276,20 @@
 	if err != nil {
 		return err
 	}
-	f.registered = own
+	f.registered, f.registeredAt = own, time.Now()
 	return nil
 }
 
 // read updates the members from the entries in the store, and probes the members that have
-// none or only one of an earlier process.
+// none or only one of an earlier process. If the node's own entry is not as it was written,
+// it is written again in the next round.
 func (f *Finder) read(ctx context.Context) error {
 	snapshot, err := f.config.Store.Range(ctx, keyPrefix, keeper.Stale)
 	if err != nil {
 		return err
 	}
 	listed := map[string]int64{}
+	registered := false
 	for _, item := range snapshot.Items {
 		var m balancer.Member
 		if err := json.Unmarshal(item.Value, &m); err != nil || m.Node == "" || m.Address == "" {
@@ -291,12 +297,23 @@
 			continue
 		}
 		listed[m.Node] = m.Start
+		registered = registered || f.isRegistered(m)
 		f.updateRelayed(ctx, m, "store")
 	}
+	if !registered && time.Since(f.registeredAt) > staleAge {
+		// The store has lost the entry. It may have given the lease to another node since,
+		// so that renewals succeed; the next round obtains a new one.
+		f.lease = 0
+	}
 	f.probeUnlisted(ctx, listed)
 	return nil
 }
 
+// isRegistered reports whether m is the record that the node wrote last.
+func (f *Finder) isRegistered(m balancer.Member) bool {
+	return m.Node == f.registered.Node && m.Start == f.registered.Start && m.Sequence == f.registered.Sequence
+}
+
 // updateRelayed updates a member from a record that did not come from the member itself. The
 // record of a removed incarnation may be a relic, so that member must reply first.
 func (f *Finder) updateRelayed(ctx context.Context, m balancer.Member, source string) {
--- a/internal/proxy/finder/finder_test.go
+++ b/internal/proxy/finder/finder_test.go
@@ -41,6 +41,11 @@
 	// written holds the node's own entries as they were written, unless refuseWrites is set.
 	written      []balancer.Member
 	refuseWrites bool
+	// ownEntry is the node's own entry; nil if there is none. A read that is earlier than
+	// staleUntil does not show it.
+	ownEntry   *balancer.Member
+	staleUntil time.Time
+	leases     int
 }
 
 // inWorld runs a test on simulated time with a finder that has run for 10 seconds. Prepare
@@ -146,7 +151,11 @@
 	if w.storeDown {
 		return s, errSilent
 	}
-	for _, m := range w.entries {
+	entries := w.entries
+	if w.ownEntry != nil && !time.Now().Before(w.staleUntil) {
+		entries = append(slices.Clone(entries), *w.ownEntry)
+	}
+	for _, m := range entries {
 		value, err := json.Marshal(m)
 		if err != nil {
 			return s, err
@@ -157,6 +166,7 @@
 }
 
 func (w *world) Lease(context.Context, time.Duration) (keeper.LeaseID, time.Duration, error) {
+	w.set(func() { w.leases++ })
 	return 1, leaseTTL, nil
 }
 
@@ -169,7 +179,7 @@
 	if err := json.Unmarshal(t.Writes[0].Value, &m); err != nil || w.refuseWrites {
 		return 0, errSilent
 	}
-	w.written = append(w.written, m)
+	w.written, w.ownEntry = append(w.written, m), &m
 	return 1, nil
 }
 
@@ -316,6 +326,28 @@
 	})
 }
 
+// Guards against a node without an entry after the store came back from a copy, in which its
+// lease is another node's, so that renewals succeed. A late write may bring an older entry.
+func TestLostEntryIsWrittenAgain(t *testing.T) {
+	const stale = 6 * time.Second
+	prepare := func(w *world) { w.staleUntil = time.Now().Add(stale) }
+	for name, restored := range map[string]*balancer.Member{
+		"The entry is gone":       nil,
+		"An older entry is there": {Node: ownNode, Start: 1, Address: "own:1"},
+	} {
+		inWorld(t, name, prepare, func(w *world, _ *Finder) {
+			time.Sleep(time.Minute)
+			So(w.writes(), ShouldHaveLength, 1)
+			w.set(func() { w.ownEntry, w.staleUntil = restored, time.Now() })
+			time.Sleep(8 * time.Second)
+			w.set(func() { w.staleUntil = time.Now().Add(stale) })
+			time.Sleep(time.Minute)
+			So(w.writes(), ShouldResemble, []balancer.Member{w.Self(), w.Self()})
+			w.set(func() { So(w.leases, ShouldEqual, 2) })
+		})
+	}
+}
+
 // Guards against memory that grows with every process that ever was a member.
 func TestAcknowledgementsOfFormerMembersAreForgotten(t *testing.T) {
 	inWorld(t, "A member restarts often, another one ends", func(*world) {}, func(w *world, f *Finder) {
