assembler: sharper tests of a store that comes back from a copy

None asks for less now:

- The newer configuration of the tests had no service a, so nodes beside an upstream of a rejected its heartbeats.
It has both services now.
All but one node are cut off until that one has the ID.
The test also checks that the entry of a dead node isn't kept alive by the other's renewals.
- TestNodeStartedAfterLossInStoreServesVersionInForce has a case in which all nodes of a zone start at once while another zone has the version in force.

--- a/internal/proxy/assembler/restore_test.go
+++ b/internal/proxy/assembler/restore_test.go
@@ -34,7 +34,7 @@
 // moved and former are the routes of newer and of older versions: moved has the reads at
 // service b.
 func moved() []routeSpec {
-	return []routeSpec{idempotent(readPrefix, "b"), nonIdempotent(orderPrefix, "b")}
+	return []routeSpec{idempotent(readPrefix, "b"), nonIdempotent(orderPrefix, "a")}
 }
 
 func former() []routeSpec {
@@ -142,36 +142,42 @@
 // version that the other nodes have in force.
 func TestNodeStartedAfterLossInStoreServesVersionInForce(t *testing.T) {
 	cases := []struct {
-		name  string
-		zones []string
-		// alone adds a node in a zone of its own, which is the one that starts.
-		alone bool
-		node  int
+		name string
+		// first and last are the first and the last node that starts. Zone x has the nodes 0 to
+		// 3, zone y node 4.
+		first, last int
 	}{
-		{"no relay", []string{"x", "x"}, false, 3},
-		{"second relay", []string{"x", "x"}, false, 1},
-		{"first relay", []string{"x", "x"}, false, 0},
-		{"alone in its zone", []string{"x", "x"}, true, 4},
+		{"no relay", 3, 3},
+		{"second relay", 1, 1},
+		{"first relay", 0, 0},
+		{"all of a zone", 0, 3},
+		{"alone in its zone", 4, 4},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			inMesh(t, c.zones, func(m *mesh.Mesh) {
-				if c.alone {
-					_, err := m.Add("y", "a", 2)
-					So(err, ShouldBeNil)
-					time.Sleep(6 * time.Second)
-				}
-				n := m.Nodes[c.node]
+			inMesh(t, []string{"x", "x"}, func(m *mesh.Mesh) {
+				_, err := m.Add("y", "a", 2)
+				So(err, ShouldBeNil)
+				time.Sleep(6 * time.Second)
 				loseVersion(m)
-				n.Kill()
+				started := m.Nodes[c.first : c.last+1]
+				for _, n := range started {
+					n.Kill()
+				}
 				time.Sleep(time.Second)
-				So(n.Start(), ShouldBeNil)
-				for start := time.Now(); !n.Ready(); time.Sleep(10 * time.Millisecond) {
-					So(time.Since(start), ShouldBeLessThan, 5*time.Second)
+				for _, n := range started {
+					So(n.Start(), ShouldBeNil)
+				}
+				for _, n := range started {
+					for start := time.Now(); !n.Ready(); time.Sleep(10 * time.Millisecond) {
+						So(time.Since(start), ShouldBeLessThan, 5*time.Second)
+					}
 				}
 				time.Sleep(time.Second)
-				So(n.Proxy.Version(), ShouldEqual, 5)
-				So(n.Call(http.MethodGet, host, readPrefix, "newest", time.Second).Status, ShouldEqual, http.StatusOK)
+				for _, n := range started {
+					So(n.Proxy.Version(), ShouldEqual, 5)
+				}
+				So(started[0].Call(http.MethodGet, host, readPrefix, "newest", time.Second).Status, ShouldEqual, http.StatusOK)
 				So(nodeThatRan(m, "newest").Upstream.Service, ShouldEqual, "b")
 			})
 		})
@@ -192,9 +198,10 @@
 		m.Store.Restore(c)
 		configure(m, 6, moved()...)
 		raise(m, 40)
-		time.Sleep(time.Second)
+		// By then the relays say that they receive no changes.
+		time.Sleep(2 * propagationTime)
 		So(n.Start(), ShouldBeNil)
-		time.Sleep(propagationTime + time.Second)
+		time.Sleep(propagationTime)
 		So(n.Proxy.Version(), ShouldEqual, 6)
 	})
 }
@@ -258,21 +265,27 @@
 // keep only the other's entry.
 func TestNodeWhoseLeaseIDWasGrantedAgainIsListed(t *testing.T) {
 	inMesh(t, []string{"x", "y"}, func(m *mesh.Mesh) {
+		second := m.Nodes[3]
+		second.Kill()
 		c := m.Store.Snapshot()
 		first, err := m.Add("x", "a", 2)
 		So(err, ShouldBeNil)
 		time.Sleep(6 * time.Second)
 		lease := m.Store.Lease(entryPrefix + first.Name)
 		So(lease, ShouldNotEqual, 0)
-		// The others get there first.
-		cutFromStore(m, func(node string) bool { return node == first.Name })
+		// The second node is the first one to get a lease.
+		cutFromStore(m, func(node string) bool { return node != second.Name })
 		m.Store.Restore(c)
-		second, err := m.Add("y", "a", 2)
-		So(err, ShouldBeNil)
-		time.Sleep(100 * time.Millisecond)
-		So(m.Store.Lease(entryPrefix+second.Name), ShouldEqual, lease)
+		So(second.Start(), ShouldBeNil)
+		for start := time.Now(); m.Store.Lease(entryPrefix+second.Name) != lease; time.Sleep(10 * time.Millisecond) {
+			So(time.Since(start), ShouldBeLessThan, 3*time.Second)
+		}
 		m.Network.Cut(nil)
 		staysListed(m, first, second)
+		// Neither may the first one keep the entry of the second alive.
+		second.Kill()
+		time.Sleep(entryTTL + time.Second)
+		So(m.Store.Keys(entryPrefix), ShouldNotContain, entryPrefix+second.Name)
 	})
 }
 
