assembler: the test of a drain before a restore sees an undone drain

TestSnapshotFromBeforeDrainDoesNotUndoIt passed even if older records replaced newer ones (Newer with Sequence != instead of >): the draining node itself refused what it was sent, so its upstream ran nothing. The test now also checks that no node has a record without the drain. With that change of Newer it fails ("Expected: false Actual: true"); on the code as it is it passes, 10 of 10 runs.

--- a/internal/proxy/assembler/restore_test.go
+++ b/internal/proxy/assembler/restore_test.go
@@ -352,5 +352,11 @@
 			time.Sleep(50 * time.Millisecond)
 		}
 		So(draining.Upstream.Total(), ShouldEqual, before)
+		// Nor may a node try it, which would cost the call an attempt.
+		for _, n := range m.Nodes {
+			for _, member := range n.Proxy.Members() {
+				So(member.Node == draining.Name && !member.Draining, ShouldBeFalse)
+			}
+		}
 	})
 }
