subscriber: a starting node takes the version of its peers before the store's

What callers would see: after the store has come back from an older copy, a node that starts and is the first relay of its zone, or alone there, serves an older version than the one in force at all others, until the operator has written it again and the node has seen that. Cause: such a node asked the store only, and took what it holds for the newest. Other nodes get the version from a relay.

--- a/internal/proxy/subscriber/relays.go
+++ b/internal/proxy/subscriber/relays.go
@@ -47,44 +47,6 @@
 	return false
 }
 
-// awaitRelays waits until a relay passes changes on to this node, at most for
-// startupTimeout.
-func (s *Subscriber) awaitRelays(ctx context.Context) {
-	start := time.Now()
-	for s.needsStore() && time.Since(start) < s.startupTimeout() {
-		if !pauser.Pause(ctx, startupPollInterval) {
-			return
-		}
-	}
-}
-
-// startupTimeout returns how long a starting node waits for a relay. At the first start
-// of the whole system, the first relay waits less than the other nodes, so that it
-// contacts the store before them. At a later start, a node waits no longer than until it
-// has the results of its first requests to the relays.
-func (s *Subscriber) startupTimeout() time.Duration {
-	switch relays := s.config.Relays(); {
-	case !s.config.FirstStart && s.allRelaysRequested():
-		return 0
-	case !s.config.FirstStart:
-		return relayResponseTimeout
-	case len(relays) > 0 && relays[0].Address == s.config.OwnAddress:
-		return discoveryTimeout
-	default:
-		return discoveryTimeout + relayResponseTimeout
-	}
-}
-
-// allRelaysRequested reports whether a first request to every relay has ended.
-func (s *Subscriber) allRelaysRequested() bool {
-	for i := range relayCount {
-		if !s.relayRequested[i].Load() {
-			return false
-		}
-	}
-	return true
-}
-
 // needsStore reports whether the node has to watch the store itself because no relay
 // passes changes on to it. The first node of an availability zone polls no relay.
 func (s *Subscriber) needsStore() bool {
--- a/internal/proxy/subscriber/subscriber.go
+++ b/internal/proxy/subscriber/subscriber.go
@@ -7,7 +7,9 @@
 // A node whose relays do not reply, or receive no changes themselves, watches the store
 // itself. While the store is unavailable too, it polls other nodes, one at a time. A
 // starting node waits a short time for the relays; when the whole system starts for the
-// first time, it waits until the nodes have discovered each other.
+// first time, it waits until the nodes have discovered each other. If it has no version then,
+// it requests one from other nodes before it contacts the store, since a store that has come
+// back from an older copy may hold an older version than the one in force.
 package subscriber
 
 import (
@@ -56,13 +58,6 @@
 	relayPollTimeout = 2 * time.Second
 	// rolePollInterval is the interval between checks of whether the node is a relay.
 	rolePollInterval = 200 * time.Millisecond
-	// relayResponseTimeout is how long a starting node waits for the relays' replies, and
-	// discoveryTimeout how long it waits for nodes that all start at once to discover
-	// each other.
-	relayResponseTimeout = 700 * time.Millisecond
-	discoveryTimeout     = 3 * time.Second
-	// startupPollInterval is the interval between checks of whether a relay has replied.
-	startupPollInterval = 50 * time.Millisecond
 )
 
 // storeSource is the source of the versions that the node reads from the store itself.
@@ -230,6 +225,7 @@
 		go s.pollRelay(ctx, i)
 	}
 	s.awaitRelays(ctx)
+	s.consultPeers(ctx)
 	delay := time.Duration(0)
 	// hasTurn reports that the node calls the store without waiting for the relays first: it
 	// followed the store until the last call failed, so that they did not serve it before
