stopper: a stall of the process does not count as idle time

What callers would see: a stopping node that gets little processor time ends with the last answer ready but not written: their connection, or the one to the node that forwarded their call, is closed without it.

Cause: awaitIdle measured the idle window from the last look that found something in flight. A stall between two looks counted as idle, so the first idle look after it ended the wait.

Now a look counts, not the time between looks: the window is full after eleven looks in a row that find nothing, 20 ms apart. Without a stall it is as long as before, counted from the first idle look.

--- a/internal/proxy/assembler/stopper.go
+++ b/internal/proxy/assembler/stopper.go
@@ -40,22 +40,25 @@
 	time.Sleep(refuseCallersDelay - refuseForwardedDelay)
 	p.acceptor.Stop()
 	p.acceptor.CloseIdle()
-	p.awaitIdle(start.Add(p.bounds.Grace.Std() - exitMargin))
+	awaitIdle(start.Add(p.bounds.Grace.Std()-exitMargin), p.busy)
 	p.telemetry.Stopped(p.acceptor.InFlight())
 	p.Close()
 }
 
-// awaitIdle waits until nothing has been in flight or queued for idleWindow, at most until
-// the deadline.
-func (p *Proxy) awaitIdle(deadline time.Time) {
-	idleSince := time.Now()
-	for now := time.Now(); now.Before(deadline); now = time.Now() {
-		if p.acceptor.InFlight() > 0 || p.executor.Busy() {
-			idleSince = now
+// awaitIdle waits until busy has reported false throughout idleWindow, at most until the
+// deadline. It counts the looks instead of the time: a process that was stalled between two
+// looks must first get to write what has become ready meanwhile.
+func awaitIdle(deadline time.Time, busy func() bool) {
+	for idleLooks := 0; time.Now().Before(deadline); time.Sleep(idlePollInterval) {
+		if busy() {
+			idleLooks = 0
+			continue
 		}
-		if now.Sub(idleSince) >= idleWindow {
+		if idleLooks++; idleLooks > int(idleWindow/idlePollInterval) {
 			return
 		}
-		time.Sleep(idlePollInterval)
 	}
 }
+
+// busy reports whether anything is in flight or queued.
+func (p *Proxy) busy() bool { return p.acceptor.InFlight() > 0 || p.executor.Busy() }
