forwarder: a stopping node waits for the messages of other nodes

What callers would see: 502 for a call whose answer was ready. The node that forwarded it finds the connection closed and, on its second send, refused: only the stopped process could state the outcome.

Cause: the stop looked at the calls of callers and at the queue and slots of the upstream. Neither covers an attempt whose message is still arriving, or one that has left the upstream while net/rpc writes its reply.

The codec of the server side now counts a request from its first byte until its response is written, and the stop waits for these too. net/rpc writes one response for each header that was read, also after an undecodable body or an unknown method. A request that waits for a newer configuration does not hold up the stop: its sender asks another node.

Ruled out: a sender that is cut off in the middle of a message holds up the stop until the end of the grace time at most, as a call in flight does.

--- a/internal/proxy/assembler/stopper.go
+++ b/internal/proxy/assembler/stopper.go
@@ -60,5 +60,8 @@
 	}
 }
 
-// busy reports whether anything is in flight or queued.
-func (p *Proxy) busy() bool { return p.acceptor.InFlight() > 0 || p.executor.Busy() }
+// busy reports whether anything is in flight or queued: a caller's call, a message of another
+// node, or a call at the upstream.
+func (p *Proxy) busy() bool {
+	return p.acceptor.InFlight() > 0 || p.receiver.Pending() > 0 || p.executor.Busy()
+}
--- a/internal/proxy/coder/coder.go
+++ b/internal/proxy/coder/coder.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/rpc"
+	"sync/atomic"
 
 	"github.com/tinylib/msgp/msgp"
 )
@@ -127,12 +128,18 @@
 // ServerCodec implements rpc.ServerCodec.
 type ServerCodec struct {
 	codec
+	// pending is the number of requests, over all connections that share it, of which a
+	// byte has arrived and whose response is not written yet.
+	pending *atomic.Int64
 	// broken is the error of the last body, if it could not be decoded.
 	broken error
 }
 
-// NewServerCodec returns the codec of a connection's server side.
-func NewServerCodec(conn io.ReadWriteCloser) *ServerCodec { return &ServerCodec{codec: newCodec(conn)} }
+// NewServerCodec returns the codec of a connection's server side. It counts in pending the
+// requests from their first byte until their response is written.
+func NewServerCodec(conn io.ReadWriteCloser, pending *atomic.Int64) *ServerCodec {
+	return &ServerCodec{codec: newCodec(conn), pending: pending}
+}
 
 // ReadRequestHeader implements rpc.ServerCodec. After a body that could not be decoded it
 // fails, which makes net/rpc end the connection: the rest of that body must not be taken for
@@ -141,7 +148,14 @@
 	if s.broken != nil {
 		return s.broken
 	}
-	r.ServiceMethod, r.Seq, _, err = s.readHeader()
+	if _, err := s.reader.R.Peek(1); err != nil {
+		return err
+	}
+	s.pending.Add(1)
+	if r.ServiceMethod, r.Seq, _, err = s.readHeader(); err != nil {
+		// net/rpc writes no response.
+		s.pending.Add(-1)
+	}
 	return err
 }
 
@@ -151,8 +165,10 @@
 	return s.broken
 }
 
-// WriteResponse implements rpc.ServerCodec.
+// WriteResponse implements rpc.ServerCodec. net/rpc calls it once for each header that was
+// read.
 func (s *ServerCodec) WriteResponse(r *rpc.Response, body any) error {
+	defer s.pending.Add(-1)
 	if r.Error != "" {
 		// The body is then a placeholder of net/rpc that has no encoding.
 		body = nil
--- a/internal/proxy/coder/coder_test.go
+++ b/internal/proxy/coder/coder_test.go
@@ -39,7 +39,7 @@
 	clientConn, serverConn := net.Pipe()
 	server := rpc.NewServer()
 	So(server.RegisterName("Echo", echo{}), ShouldBeNil)
-	go server.ServeCodec(NewServerCodec(serverConn))
+	go server.ServeCodec(NewServerCodec(serverConn, &atomic.Int64{}))
 	return rpc.NewClientWithCodec(NewClientCodec(clientConn))
 }
 
@@ -96,7 +96,7 @@
 			So(server.RegisterName("Echo", echo{}), ShouldBeNil)
 			done := make(chan struct{})
 			go func() {
-				server.ServeCodec(NewServerCodec(far))
+				server.ServeCodec(NewServerCodec(far, &atomic.Int64{}))
 				close(done)
 			}()
 			// The server may close the connection before all is sent.
@@ -117,7 +117,7 @@
 		So(server.RegisterName("Counted", counter), ShouldBeNil)
 		done := make(chan struct{})
 		go func() {
-			server.ServeCodec(NewServerCodec(far))
+			server.ServeCodec(NewServerCodec(far, &atomic.Int64{}))
 			close(done)
 		}()
 		go func() { _, _ = io.Copy(io.Discard, near) }()
--- a/internal/proxy/forwarder/receiver.go
+++ b/internal/proxy/forwarder/receiver.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/tamarackscale/tamarackscale/internal/proxy/balancer"
@@ -39,6 +40,9 @@
 	executor *executor.Executor
 	node     Node
 	server   *rpc.Server
+	// pending is the number of messages of which a byte has arrived and whose reply is not
+	// written yet.
+	pending atomic.Int64
 
 	mu     sync.Mutex
 	fencer *fencer.Fencer
@@ -68,7 +72,7 @@
 			return
 		}
 		go func() {
-			r.server.ServeCodec(coder.NewServerCodec(conn))
+			r.server.ServeCodec(coder.NewServerCodec(conn, &r.pending))
 			r.untrack(conn)
 		}()
 	}
@@ -90,6 +94,10 @@
 	delete(r.conns, conn)
 }
 
+// Pending returns the number of messages that are being read or have no written reply yet.
+// A request that waits for a newer configuration does not count.
+func (r *Receiver) Pending() int { return int(r.pending.Load()) }
+
 // Close closes all connections. Serve accepts none afterwards.
 func (r *Receiver) Close() {
 	r.mu.Lock()
@@ -172,6 +180,8 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), args.Wait)
 	defer cancel()
+	m.r.pending.Add(-1)
+	defer m.r.pending.Add(1)
 	*reply = m.r.node.NextConfiguration(ctx, args.Have)
 	reply.Start = m.r.start
 	return nil
