--- a/internal/proxy/assembler/stopper.go
+++ b/internal/proxy/assembler/stopper.go
@@ -42,7 +42,7 @@
 	p.acceptor.Stop()
 	p.acceptor.CloseIdle()
 	deadline := start.Add(p.bounds.Grace.Std() - exitMargin)
-	p.awaitIdle(deadline)
+	awaitIdle(deadline, p.busy)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	p.acceptor.Shutdown(ctx)
@@ -50,17 +50,23 @@
 	p.Close()
 }
 
-// awaitIdle waits until nothing has been in flight or queued for idleWindow, at most until
-// the deadline.
-func (p *Proxy) awaitIdle(deadline time.Time) {
-	idleSince := time.Now()
-	for now := time.Now(); now.Before(deadline); now = time.Now() {
-		if p.acceptor.InFlight() > 0 || p.executor.Busy() {
-			idleSince = now
+// awaitIdle waits until busy has reported false throughout idleWindow, at most until the
+// deadline. It counts the looks instead of the time: a process that was stalled between two
+// looks must first get to write what has become ready meanwhile.
+func awaitIdle(deadline time.Time, busy func() bool) {
+	for idleLooks := 0; time.Now().Before(deadline); time.Sleep(idlePollInterval) {
+		if busy() {
+			idleLooks = 0
+			continue
 		}
-		if now.Sub(idleSince) >= idleWindow {
+		if idleLooks++; idleLooks > int(idleWindow/idlePollInterval) {
 			return
 		}
-		time.Sleep(idlePollInterval)
 	}
 }
+
+// busy reports whether anything is in flight or queued: a caller's call, a message of another
+// node, or a call at the upstream.
+func (p *Proxy) busy() bool {
+	return p.acceptor.InFlight() > 0 || p.receiver.Pending() > 0 || p.executor.Busy()
+}
