assembler: a reload leaves the node's name and addresses in the member record

What callers would see: after a change of the settings file, 503 on other nodes for the service of this one. Its member record names the new address, where nobody listens until the restart, or the address of another node.

Cause: Reload replaced all settings, though the listeners stay. Self takes the name and the address from the settings in use. OPERATIONS.md says that addresses stay the same until a restart.

Ruled out: a call that was accepted is not lost. It keeps its route and its member, and an attempt at the wrong address is refused without having run.

Before: directory_test.go Line 60: Expected: Member{Node:"vm-1" ... Address:"10.0.0.1:7000"} Actual: Member{Node:"vm-2" ... Address:"10.0.0.2:8000"} After: ok, and the packages under internal/proxy, platform and standin.

--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -233,9 +233,14 @@
 	})
 }
 
-// Reload replaces the settings. Listeners, bounds and store clients keep the settings
-// with which they were built.
-func (p *Proxy) Reload(s *reader.Settings) { p.settings.Store(s) }
+// Reload replaces the settings. The node keeps its name and addresses, and listeners, bounds
+// and store clients the settings with which they were built.
+func (p *Proxy) Reload(s *reader.Settings) {
+	inUse := p.settings.Load()
+	next := *s
+	next.Node.ID, next.Node.IP, next.Listen = inUse.Node.ID, inUse.Node.IP, inUse.Listen
+	p.settings.Store(&next)
+}
 
 // Reporter returns the writer of the proxy's log and metrics.
 func (p *Proxy) Reporter() *reporter.Reporter { return p.telemetry }
--- a/internal/proxy/assembler/directory_test.go
+++ b/internal/proxy/assembler/directory_test.go
@@ -7,6 +7,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/tamarackscale/tamarackscale/internal/proxy/balancer"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/tracker"
 	"github.com/tamarackscale/tamarackscale/internal/settings/reader"
 )
 
@@ -34,3 +35,32 @@
 		So(addresses, ShouldResemble, []string{"2", "3", "1", "10.0.0.10:7000"})
 	})
 }
+
+// The listeners keep their addresses when the settings change. Other nodes would forward to
+// addresses at which nobody listens.
+func TestReloadKeepsAddressesInUse(t *testing.T) {
+	Convey("A node whose settings file names other addresses", t, func() {
+		initial := reader.Settings{
+			Node:     reader.Node{ID: "vm-1", IP: "10.0.0.1", AvailabilityZone: "x"},
+			Listen:   reader.Listen{Ports: []int{7000, 7015}},
+			Upstream: reader.Upstream{Service: "a", Address: "10.0.0.1:9000"},
+		}
+		p, err := New(Config{Output: io.Discard, Settings: &initial})
+		So(err, ShouldBeNil)
+		defer p.Close()
+		heartbeat := tracker.Heartbeat{Instance: "i", Sequence: 1, Service: "a", Address: "10.0.0.1:9000", Slots: 2}
+		So(p.Heartbeat(heartbeat), ShouldBeNil)
+		before := p.Self()
+		changed := initial
+		changed.Node.ID, changed.Node.IP, changed.Listen.Ports = "vm-2", "10.0.0.2", []int{8000, 8015}
+		changed.Upstream = reader.Upstream{Service: "b", Address: "10.0.0.1:9001"}
+		p.Reload(&changed)
+
+		Convey("is known to the others as before", func() {
+			So(p.Self(), ShouldResemble, before)
+		})
+		Convey("takes the new service", func() {
+			So(p.settings.Load().Upstream.Service, ShouldEqual, "b")
+		})
+	})
+}
