assembler: an upstream at its former address can still report that it drains

What callers would see: calls cut at the end of an upstream that had reported its drain. Its heartbeats are rejected from the moment at which the settings file names another address, so the node goes on sending calls to it until it exits.

Cause: Heartbeat compared the address with the settings in force only. The address of the upstream that the node sends calls to now counts too; it was the configured one when that upstream registered.

Before: directory_test.go Line 67: Expected: nil Actual: 'heartbeat of instance "i": address 10.0.0.1:9000 is not the configured upstream address 10.0.0.1:9001' After: ok, and the packages under internal/proxy, platform and standin.

--- a/internal/proxy/assembler/directory.go
+++ b/internal/proxy/assembler/directory.go
@@ -142,10 +142,10 @@
 }
 
 // Heartbeat implements platform.UpstreamListener. It returns an error if the heartbeat
-// names another address than the configured one or a service that the configuration
-// lacks.
+// names neither the configured address nor that of the running upstream, or a service that
+// the configuration lacks.
 func (p *Proxy) Heartbeat(r tracker.Heartbeat) error {
-	if s := p.settings.Load(); r.Address != s.Upstream.Address {
+	if s := p.settings.Load(); r.Address != s.Upstream.Address && r.Address != p.executor.Upstream().Address {
 		return errors.Newf("heartbeat of instance %q: address %s is not the configured upstream address %s",
 			r.Instance, r.Address, s.Upstream.Address)
 	}
--- a/internal/proxy/assembler/directory_test.go
+++ b/internal/proxy/assembler/directory_test.go
@@ -37,7 +37,7 @@
 }
 
 // The listeners keep their addresses when the settings change. Other nodes would forward to
-// addresses at which nobody listens.
+// addresses at which nobody listens, and the upstream could not report that it drains.
 func TestReloadKeepsAddressesInUse(t *testing.T) {
 	Convey("A node whose settings file names other addresses", t, func() {
 		initial := reader.Settings{
@@ -62,5 +62,16 @@
 		Convey("takes the new service", func() {
 			So(p.settings.Load().Upstream.Service, ShouldEqual, "b")
 		})
+		Convey("acknowledges that its running upstream drains", func() {
+			heartbeat.Sequence, heartbeat.Draining = 2, true
+			So(p.Heartbeat(heartbeat), ShouldBeNil)
+			So(p.executor.Upstream().State, ShouldEqual, tracker.Draining)
+		})
+		Convey("takes an upstream at the new address and no other", func() {
+			next := tracker.Heartbeat{Instance: "j", Born: 1, Sequence: 1, Service: "b", Address: "10.0.0.1:9002", Slots: 2}
+			So(p.Heartbeat(next), ShouldNotBeNil)
+			next.Address = "10.0.0.1:9001"
+			So(p.Heartbeat(next), ShouldBeNil)
+		})
 	})
 }
