stopper: a request read after the last look for calls gets its response

What callers would see: the connection to a stopping node ends under a request that the node has read, without the refusal that was ready.

Cause: between the last look for calls in flight and the end, the listener still accepted connections, and Close closed all of them, also those with a call in flight.

Now the node closes its listeners and the idle connections after the idle window, waits until what was accepted meanwhile is completed, within the grace time, and only then closes the rest.

Left to the acceptor: whether CloseIdle takes a connection for idle whose request was read but is not counted yet.

--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -218,9 +218,7 @@
 // subscriber, for which the caller cancels the context of Start.
 func (p *Proxy) Close() {
 	p.closeOnce.Do(func() {
-		for _, l := range p.listeners {
-			_ = l.Close()
-		}
+		p.closeListeners()
 		for _, server := range p.servers {
 			_ = server.Close()
 		}
@@ -233,6 +231,13 @@
 	})
 }
 
+// closeListeners ends the accepting of connections. Those that are open stay open.
+func (p *Proxy) closeListeners() {
+	for _, l := range p.listeners {
+		_ = l.Close()
+	}
+}
+
 // Reload replaces the settings. The node keeps its name and addresses, and listeners, bounds
 // and store clients the settings with which they were built.
 func (p *Proxy) Reload(s *reader.Settings) {
--- a/internal/proxy/assembler/stop_test.go
+++ b/internal/proxy/assembler/stop_test.go
@@ -1,21 +1,30 @@
 package assembler_test
 
 import (
+	"bufio"
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/rpc"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/tamarackscale/tamarackscale/internal/input/decoder"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/assembler"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/coder"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/executor"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/fencer"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/forwarder"
+	"github.com/tamarackscale/tamarackscale/internal/settings/reader"
 	"github.com/tamarackscale/tamarackscale/standin/mesh"
+	"github.com/tamarackscale/tamarackscale/standin/network"
 )
 
 // slowConn makes a pause in the middle of each write.
@@ -76,3 +85,75 @@
 		})
 	}
 }
+
+// hookedNetwork calls closing before a listener at an address is closed for the first time.
+type hookedNetwork struct {
+	*network.Host
+	address string
+	closing func()
+}
+
+// Listen implements dialer.Network.
+func (n hookedNetwork) Listen(address string) (net.Listener, error) {
+	l, err := n.Host.Listen(address)
+	if address == n.address {
+		l = &hookedListener{Listener: l, closing: n.closing}
+	}
+	return l, err
+}
+
+type hookedListener struct {
+	net.Listener
+	once    sync.Once
+	closing func()
+}
+
+// Close implements net.Listener.
+func (l *hookedListener) Close() error {
+	l.once.Do(l.closing)
+	return l.Listener.Close()
+}
+
+// A request arrives after the stopping node has looked for calls in flight for the last time.
+// The node has read it, so it must still respond.
+func TestRequestReadAfterLastLookGetsResponse(t *testing.T) {
+	const callers = "10.0.0.1:8001"
+	synctest.Test(t, func(t *testing.T) {
+		Convey("A node that stops", t, func() {
+			n := network.New()
+			var conn io.ReadWriteCloser
+			sent := errors.New("not sent")
+			hooked := hookedNetwork{Host: n.Host("vm-1"), address: callers, closing: func() {
+				_, sent = io.WriteString(conn, mesh.Request(http.MethodGet, host, readPrefix, "late", time.Second))
+				// The response is ready now, and waits for the caller to read it.
+				synctest.Wait()
+			}}
+			p, err := assembler.New(assembler.Config{Output: io.Discard, Network: hooked, Settings: &reader.Settings{
+				Node:     reader.Node{ID: "vm-1", IP: "10.0.0.1", AvailabilityZone: "x"},
+				Listen:   reader.Listen{Callers: callers, Readiness: "10.0.0.1:8002", Control: "10.0.0.1:8003", Ports: []int{7000, 7015}},
+				Platform: reader.Platform{Address: "10.200.0.1:80"},
+				Bounds:   reader.Bounds{DrainTime: decoder.Duration(2 * time.Second), Grace: decoder.Duration(6 * time.Second)},
+			}})
+			So(err, ShouldBeNil)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer time.Sleep(time.Minute)
+			defer cancel()
+			So(p.Start(ctx), ShouldBeNil)
+			stopped := make(chan struct{})
+			go func() {
+				p.Stop("test")
+				close(stopped)
+			}()
+			time.Sleep(2400 * time.Millisecond)
+			conn, err = n.Host("vm-1").Dial(ctx, callers)
+			So(err, ShouldBeNil)
+			time.Sleep(300 * time.Millisecond)
+			So(sent, ShouldBeNil)
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			So(err, ShouldBeNil)
+			So(response.StatusCode, ShouldEqual, http.StatusServiceUnavailable)
+			So(conn.Close(), ShouldBeNil)
+			<-stopped
+		})
+	})
+}
--- a/internal/proxy/assembler/stopper.go
+++ b/internal/proxy/assembler/stopper.go
@@ -40,21 +40,26 @@
 	time.Sleep(refuseCallersDelay - refuseForwardedDelay)
 	p.acceptor.Stop()
 	p.acceptor.CloseIdle()
-	awaitIdle(start.Add(p.bounds.Grace.Std()-exitMargin), p.busy)
+	deadline := start.Add(p.bounds.Grace.Std() - exitMargin)
+	awaitIdle(deadline, idleWindow, p.busy)
+	// What was accepted since the last look is completed too; nothing new is accepted.
+	p.closeListeners()
+	p.acceptor.CloseIdle()
+	awaitIdle(deadline, 0, p.busy)
 	p.telemetry.Stopped(p.acceptor.InFlight())
 	p.Close()
 }
 
-// awaitIdle waits until busy has reported false throughout idleWindow, at most until the
+// awaitIdle waits until busy has reported false throughout a window, at most until the
 // deadline. It counts the looks instead of the time: a process that was stalled between two
 // looks must first get to write what has become ready meanwhile.
-func awaitIdle(deadline time.Time, busy func() bool) {
+func awaitIdle(deadline time.Time, window time.Duration, busy func() bool) {
 	for idleLooks := 0; time.Now().Before(deadline); time.Sleep(idlePollInterval) {
 		if busy() {
 			idleLooks = 0
 			continue
 		}
-		if idleLooks++; idleLooks > int(idleWindow/idlePollInterval) {
+		if idleLooks++; idleLooks > int(window/idlePollInterval) {
 			return
 		}
 	}
--- a/internal/proxy/assembler/stopper_test.go
+++ b/internal/proxy/assembler/stopper_test.go
@@ -14,7 +14,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		Convey("Only looks that find nothing in flight add to the idle window", t, func() {
 			looks := 0
-			awaitIdle(time.Now().Add(5*time.Second), func() bool {
+			awaitIdle(time.Now().Add(5*time.Second), idleWindow, func() bool {
 				looks++
 				if looks == 2 {
 					time.Sleep(2 * idleWindow)
