runner: a stop does not wait for a reload of the settings

What callers would see: calls cut at the end of the grace time, on a node that was ready until then. SIGTERM arrives while the node reads its settings file on a disk that does not respond; the drain begins when the read ends, and the end of the grace time as the node computes it is late by as much.

Cause: one loop handled the signals and read the file, for SIGHUP and every 2 s. Its channel holds four signals; after four more of SIGHUP during one read, SIGTERM would have been dropped altogether.

The file is now watched in a goroutine of its own. The loop for the signals never blocks.

--- a/internal/proxy/runner/runner.go
+++ b/internal/proxy/runner/runner.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/tamarackscale/tamarackscale/internal/input/collector"
+	"github.com/tamarackscale/tamarackscale/internal/observe/reporter"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/assembler"
 	"github.com/tamarackscale/tamarackscale/internal/settings/reader"
 )
@@ -67,19 +68,44 @@
 	return ExitOK
 }
 
+// process is the running proxy.
+type process interface {
+	Stop(reason string)
+	Reload(s *reader.Settings)
+	Reporter() *reporter.Reporter
+}
+
 // serveUntilSignal reloads the settings on SIGHUP and when their file changes, until
-// another signal stops the proxy.
-func serveUntilSignal(proxy *assembler.Proxy, path string, signals <-chan os.Signal) {
+// another signal stops the proxy. The stop does not wait for a reload, which may block for
+// as long as the file's disk does.
+func serveUntilSignal(proxy process, path string, signals <-chan os.Signal) {
+	hangups, done := make(chan struct{}, 1), make(chan struct{})
+	go watchSettings(proxy, path, hangups, done)
+	for s := range signals {
+		if s != syscall.SIGHUP {
+			close(done)
+			proxy.Stop(s.String())
+			return
+		}
+		select {
+		case hangups <- struct{}{}:
+		default:
+			// A reload that has yet to begin reads the change as well.
+		}
+	}
+}
+
+// watchSettings reloads the settings after each hangup and change of their file, until done
+// is closed.
+func watchSettings(proxy process, path string, hangups, done <-chan struct{}) {
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
 	lastModified := modTime(path)
 	for {
 		select {
-		case s := <-signals:
-			if s != syscall.SIGHUP {
-				proxy.Stop(s.String())
-				return
-			}
+		case <-done:
+			return
+		case <-hangups:
 			lastModified = modTime(path)
 			reload(proxy, path)
 		case <-ticker.C:
@@ -103,7 +129,7 @@
 
 // reload applies the settings file to the running proxy. If the file is unreadable or
 // invalid, the settings in use stay in force.
-func reload(proxy *assembler.Proxy, path string) {
+func reload(proxy process, path string) {
 	settings, err := reader.Load(path)
 	if err == nil {
 		proxy.Reload(settings)
--- /dev/null
+++ b/internal/proxy/runner/runner_test.go
@@ -0,0 +1,52 @@
+package runner
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/tamarackscale/tamarackscale/internal/observe/reporter"
+	"github.com/tamarackscale/tamarackscale/internal/settings/reader"
+)
+
+// fakeProxy records the reason of its stop.
+type fakeProxy struct {
+	stopped chan string
+	log     *reporter.Reporter
+}
+
+func (p fakeProxy) Stop(reason string)           { p.stopped <- reason }
+func (fakeProxy) Reload(*reader.Settings)        {}
+func (p fakeProxy) Reporter() *reporter.Reporter { return p.log }
+
+// The settings file may be on a disk that does not respond. A stop that waited for it would
+// begin late and be cut off at the end of the grace time.
+func TestBlockedReloadDoesNotDelayStop(t *testing.T) {
+	Convey("A proxy is stopped while it reads its settings again", t, func() {
+		path := filepath.Join(t.TempDir(), "settings")
+		// Opening a FIFO for reading blocks until it has a writer.
+		So(syscall.Mkfifo(path, 0o600), ShouldBeNil)
+		p := fakeProxy{stopped: make(chan string, 1), log: reporter.New("vm-1", "x", io.Discard)}
+		signals := make(chan os.Signal, 4)
+		signals <- syscall.SIGHUP
+		signals <- syscall.SIGTERM
+		go serveUntilSignal(p, path, signals)
+		defer func() {
+			// Lets a reload that is blocked end.
+			if writer, err := os.OpenFile(path, os.O_WRONLY|syscall.O_NONBLOCK, 0); err == nil {
+				_ = writer.Close()
+			}
+		}()
+		select {
+		case reason := <-p.stopped:
+			So(reason, ShouldEqual, syscall.SIGTERM.String())
+		case <-time.After(time.Second):
+			So("no stop within a second", ShouldBeEmpty)
+		}
+	})
+}
