forwarder: a failed method does not close the connection of other calls

What callers would see: during a release, calls that run twice or take longer, on the way to nodes that lack a method of the new version. Each such reply closed the connection under all attempts in flight on it. The first break made them all be sent again. At the second within its time, a call that can fail over was cancelled at its upstream and tried elsewhere.

Cause: call closed the connection after any error but that of its context, also after one that the peer had replied over this very connection.

Ruled out: an attempt that may go nowhere else is not lost by such a break. It is sent again under its ID and joins the execution in progress.

If the peer ends the connection after such a reply, because it could not decode a message, the calls in flight get that as the connection's failure.

--- a/internal/proxy/forwarder/peer.go
+++ b/internal/proxy/forwarder/peer.go
@@ -184,9 +184,16 @@
 	}
 }
 
+// isServerError reports whether an error is the peer's reply to a call. The connection on
+// which it arrived is sound, and other calls may be in flight on it.
+func isServerError(err error) bool {
+	var replied rpc.ServerError
+	return errors.As(err, &replied)
+}
+
 // call makes one call on a connection, which it probes while no data arrives. After an
-// error other than that of the context, also one that the method returned, the
-// connection is closed.
+// error other than that of the context or one that the peer replied, the connection is
+// closed.
 func (p *peer) call(ctx context.Context, l *connection, method string, args, reply any) error {
 	start := time.Now()
 	writesBefore := l.conn.writes.Load()
@@ -202,7 +209,7 @@
 	for {
 		select {
 		case <-pending.Done:
-			if pending.Error != nil {
+			if pending.Error != nil && !isServerError(pending.Error) {
 				p.drop(l)
 			}
 			return pending.Error
--- a/internal/proxy/forwarder/receiver_test.go
+++ b/internal/proxy/forwarder/receiver_test.go
@@ -5,12 +5,14 @@
 	"errors"
 	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/tamarackscale/tamarackscale/internal/proxy/balancer"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/coder"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/encoder"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/fencer"
 )
@@ -96,3 +98,35 @@
 		So(reply.UpstreamTime, ShouldEqual, 40*time.Millisecond)
 	})
 }
+
+// A node of another version may lack a method. That must not end the attempts in flight on the
+// connection: after a second break, a call that can fail over would be cancelled and run again.
+func TestFailedMethodLeavesOtherCallsOnConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("A call in flight while another one on its connection fails", t, func() {
+			r, err := NewReceiver(20, nil, fakeNode{})
+			So(err, ShouldBeNil)
+			dials := 0
+			f := New("near", 10, func(context.Context, string) (net.Conn, error) {
+				dials++
+				near, far := net.Pipe()
+				go r.server.ServeCodec(coder.NewServerCodec(far, &r.pending))
+				return near, nil
+			})
+			id := fencer.AttemptID{Sender: 1, Number: 1}
+			entry, _ := r.fencer.Begin(id, func() {}, time.Now())
+			done := make(chan error)
+			go func() {
+				done <- f.Call(context.Background(), "far", "Run", &RunArgs{AttemptID: id, Start: 20}, &RunReply{})
+			}()
+			synctest.Wait()
+			So(f.Call(context.Background(), "far", "Unknown", &Empty{}, &Empty{}), ShouldNotBeNil)
+			r.mu.Lock()
+			r.fencer.Finish(entry, carrier.Result{Outcome: carrier.Run}, time.Now())
+			r.mu.Unlock()
+			So(<-done, ShouldBeNil)
+			So(dials, ShouldEqual, 1)
+			f.Close()
+		})
+	})
+}
