executor: a connection of a former incarnation is not kept for the next one

What callers would see: 503 for up to a second after a restart of the upstream under the same address, if the service has no other upstream.

Cause: a new incarnation drops the idle connections, but one that was in use then was put back afterwards, since the address is the same. A former incarnation may outlive its listener to complete its calls. The next call went to it and got status 421, which made the node take the present incarnation for gone until its next heartbeat and refuse the queued calls. Under the same instance ID, the former one would even have run the call.

Connections now carry the generation of the pool, which each drop advances.

Ruled out: the call that uses such a connection is not cut. Queued calls that are refused when an upstream drains or is gone have not run and are placed at another node.

Before: pool_test.go Line 94: Expected '&{0x3566510f4400 ...}' to NOT equal '&{0x3566510f4400 ...}' (but it did)! After: ok, and the packages under internal/proxy, platform and standin. The test that dials by itself passes the generation; it checks the same.

--- a/internal/proxy/executor/pool.go
+++ b/internal/proxy/executor/pool.go
@@ -38,6 +38,8 @@
 	lastUse time.Time
 	// fresh reports whether no call has been answered on the connection yet.
 	fresh bool
+	// generation is that of the pool when the connection was requested.
+	generation int
 }
 
 // Dial opens a connection to a network address.
@@ -50,6 +52,9 @@
 	mu      sync.Mutex
 	address string
 	idle    []*connection
+	// generation counts the drops. A connection of an earlier generation may lead to a
+	// former incarnation of the upstream, which can outlive its listener.
+	generation int
 }
 
 func newPool(connect Dial) *pool { return &pool{connect: connect} }
@@ -57,9 +62,9 @@
 // get returns an idle connection that is not known to be broken, or opens a new one.
 func (p *pool) get(ctx context.Context, address string, now time.Time) (*connection, error) {
 	for {
-		c := p.pop(address)
+		c, generation := p.pop(address)
 		if c == nil {
-			return p.dial(ctx, address)
+			return p.dial(ctx, address, generation)
 		}
 		if now.Sub(c.lastUse) < c.idle && isReusable(c.Conn) {
 			return c, nil
@@ -69,8 +74,9 @@
 }
 
 // pop removes and returns the most recently used connection to the address; nil if
-// there is none. Connections to another address are closed.
-func (p *pool) pop(address string) *connection {
+// there is none. It also returns the generation of the pool. Connections to another address
+// are closed.
+func (p *pool) pop(address string) (*connection, int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.address != address {
@@ -78,14 +84,14 @@
 		p.address = address
 	}
 	if len(p.idle) == 0 {
-		return nil
+		return nil, p.generation
 	}
 	c := p.idle[len(p.idle)-1]
 	p.idle = p.idle[:len(p.idle)-1]
-	return c
+	return c, p.generation
 }
 
-func (p *pool) dial(ctx context.Context, address string) (*connection, error) {
+func (p *pool) dial(ctx context.Context, address string, generation int) (*connection, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	conn, err := p.connect(ctx, address)
@@ -95,12 +101,13 @@
 	wire := &limiter.Reader{Reader: conn, Exceeded: errAnswerTooLarge}
 	return &connection{
 		Conn: conn, reader: bufio.NewReaderSize(wire, bufferBytes), wire: wire, writer: bufio.NewWriterSize(conn, bufferBytes),
-		idle: defaultIdleTimeout, fresh: true,
+		idle: defaultIdleTimeout, fresh: true, generation: generation,
 	}, nil
 }
 
 // put keeps a connection for the next call. idle is the upstream's idle timeout; 0 if it is
-// not specified. A connection to an outdated address or with unread input is closed.
+// not specified. A connection to an outdated address, of an earlier generation or with
+// unread input is closed.
 func (p *pool) put(c *connection, address string, idle time.Duration, now time.Time) {
 	if idle > 0 {
 		c.idle = time.Duration(idleTimeoutFraction * float64(idle))
@@ -108,7 +115,7 @@
 	c.lastUse, c.fresh = now, false
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.address != address || c.reader.Buffered() > 0 {
+	if p.address != address || c.generation != p.generation || c.reader.Buffered() > 0 {
 		_ = c.Close()
 		return
 	}
@@ -127,7 +134,7 @@
 	p.idle = append(p.idle[:0], p.idle[expired:]...)
 }
 
-// drop closes all idle connections.
+// drop closes all idle connections, and those in use after their call.
 func (p *pool) drop() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -139,6 +146,7 @@
 		_ = c.Close()
 	}
 	p.idle = nil
+	p.generation++
 }
 
 // isReusable reports whether an idle connection is open and has no unread input, which
--- a/internal/proxy/executor/pool_test.go
+++ b/internal/proxy/executor/pool_test.go
@@ -49,7 +49,7 @@
 		})
 		Convey("closes it with the next use once it is too old", func() {
 			later := now.Add(2 * defaultIdleTimeout)
-			other, err := p.dial(context.Background(), address)
+			other, err := p.dial(context.Background(), address, p.generation)
 			So(err, ShouldBeNil)
 			p.put(other, address, 0, later)
 			So(p.idle, ShouldHaveLength, 1)
@@ -75,3 +75,26 @@
 		So(e.unreachableUntil, ShouldEqual, now.Add(unreachableBackoff))
 	})
 }
+
+// A call runs on a connection to an incarnation that another one replaces meanwhile. The next
+// call would reach the former one, whose refusal would count against the present one.
+func TestConnectionOfFormerIncarnationIsNotKept(t *testing.T) {
+	Convey("Connections that were opened before a drop of the pool are closed after their use", t, func() {
+		p := newPool(func(context.Context, string) (net.Conn, error) {
+			near, _ := net.Pipe()
+			return near, nil
+		})
+		now := time.Now()
+		former, err := p.get(context.Background(), "a", now)
+		So(err, ShouldBeNil)
+		p.drop()
+		p.put(former, "a", 0, now)
+		next, err := p.get(context.Background(), "a", now)
+		So(err, ShouldBeNil)
+		So(next, ShouldNotEqual, former)
+		p.put(next, "a", 0, now)
+		again, err := p.get(context.Background(), "a", now)
+		So(err, ShouldBeNil)
+		So(again, ShouldEqual, next)
+	})
+}
