--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -218,9 +218,7 @@
 // subscriber, for which the caller cancels the context of Start.
 func (p *Proxy) Close() {
 	p.closeOnce.Do(func() {
-		for _, l := range p.listeners {
-			_ = l.Close()
-		}
+		p.closeListeners()
 		for _, server := range p.servers {
 			_ = server.Close()
 		}
@@ -233,9 +231,21 @@
 	})
 }
 
-// Reload replaces the settings. Listeners, bounds and store clients keep the settings
-// with which they were built.
-func (p *Proxy) Reload(s *reader.Settings) { p.settings.Store(s) }
+// closeListeners ends the accepting of connections. Those that are open stay open.
+func (p *Proxy) closeListeners() {
+	for _, l := range p.listeners {
+		_ = l.Close()
+	}
+}
+
+// Reload replaces the settings. The node keeps its name and addresses, and listeners, bounds
+// and store clients the settings with which they were built.
+func (p *Proxy) Reload(s *reader.Settings) {
+	inUse := p.settings.Load()
+	next := *s
+	next.Node.ID, next.Node.IP, next.Listen = inUse.Node.ID, inUse.Node.IP, inUse.Listen
+	p.settings.Store(&next)
+}
 
 // Reporter returns the writer of the proxy's log and metrics.
 func (p *Proxy) Reporter() *reporter.Reporter { return p.telemetry }
