stopper: control calls of the upstream are answered before the node ends

What the upstream would see: its connection closes under a deregistration or a drain that the node has already recorded and announced, so it waits for nothing, or reports again to a node that has ended. No call is lost by this, but the acknowledgement is.

Cause: recording a drain at other nodes takes up to 150 ms, and Close closed the control server without regard to requests in progress.

The stop now ends the control server with Shutdown, within the grace time.

--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -63,6 +63,8 @@
 
 	transport *http.Transport
 	servers   []*http.Server
+	// control serves the heartbeats of the upstream; nil before Start. It is among servers.
+	control   *http.Server
 	listeners []net.Listener
 	closeOnce sync.Once
 	// sequence counts the changes of this node's member record.
@@ -169,7 +171,7 @@
 	}
 	go p.receiver.Serve(peers)
 	go p.acceptor.Serve(callers)
-	p.serveHTTP(control, platform.ControlHandler(p))
+	p.control = p.serveHTTP(control, platform.ControlHandler(p))
 	p.serveHTTP(readiness, platform.ReadinessHandler(p.ready))
 	if s.Listen.Metrics != "" {
 		metrics, err := p.listen(s.Listen.Metrics)
@@ -192,11 +194,12 @@
 // the upstream.
 const httpServerTimeout = 30 * time.Second
 
-func (p *Proxy) serveHTTP(l net.Listener, handler http.Handler) {
+func (p *Proxy) serveHTTP(l net.Listener, handler http.Handler) *http.Server {
 	server := &http.Server{Handler: handler, IdleTimeout: httpServerTimeout, ReadHeaderTimeout: httpServerTimeout}
 	p.servers = append(p.servers, server)
 	// Serve returns when Close closes the server.
 	go func() { _ = server.Serve(l) }()
+	return server
 }
 
 func (p *Proxy) listen(address string) (net.Listener, error) {
--- a/internal/proxy/assembler/stop_test.go
+++ b/internal/proxy/assembler/stop_test.go
@@ -157,3 +157,16 @@
 		})
 	})
 }
+
+// A deregistration reaches a node at the end of its stop and takes a while, since the node
+// records it at others that are unreachable. Without the acknowledgement the upstream would
+// not know that no more calls come.
+func TestStoppingNodeAcknowledgesDeregistration(t *testing.T) {
+	inMesh(t, []string{"x"}, func(m *mesh.Mesh) {
+		near := nodesOf(m, "a")[0]
+		go near.Proxy.Stop("test")
+		time.Sleep(2450 * time.Millisecond)
+		m.Network.Cut(func(from, to string) bool { return from == near.Name && to != near.Name && to != "store" })
+		So(near.Upstream.Deregister(context.Background()), ShouldEqual, http.StatusOK)
+	})
+}
--- a/internal/proxy/assembler/stopper.go
+++ b/internal/proxy/assembler/stopper.go
@@ -1,6 +1,7 @@
 package assembler
 
 import (
+	"context"
 	"time"
 )
 
@@ -46,10 +47,20 @@
 	p.closeListeners()
 	p.acceptor.CloseIdle()
 	awaitIdle(deadline, 0, p.busy)
+	p.acknowledgeControl(deadline)
 	p.telemetry.Stopped(p.acceptor.InFlight())
 	p.Close()
 }
 
+// acknowledgeControl waits until the control calls of the upstream that have arrived are
+// answered, at most until the deadline.
+func (p *Proxy) acknowledgeControl(deadline time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	// Close ends what has no answer by then.
+	_ = p.control.Shutdown(ctx)
+}
+
 // awaitIdle waits until busy has reported false throughout a window, at most until the
 // deadline. It counts the looks instead of the time: a process that was stalled between two
 // looks must first get to write what has become ready meanwhile.
