subscriber: a configuration of another node that can't be decoded confirms no position

What callers would see: after a rolling change of releases, a node that a relay or peer sent a version which its release can't decode goes on by the former one, and once it follows the store itself, its watch begins behind that version; so it would learn neither of it nor that it has to count as not subscribed, and would pass its position on as confirmed. Cause: apply confirmed the position before it looked at the error. The store's own value still confirms: there the node counts as not subscribed and forgets the position when the watch ends.

Before: go test -run Undecodable ./internal/proxy/subscriber subscriber_test.go Line 92: Expected: keeper.Position{Era:keeper.Era(1), Revision:keeper.Revision(10)} Actual: keeper.Position{Era:keeper.Era(1), Revision:keeper.Revision(11)} After: ok, with internal/proxy/..., platform/... and standin/...

--- a/internal/proxy/subscriber/subscriber.go
+++ b/internal/proxy/subscriber/subscriber.go
@@ -289,12 +289,15 @@
 // apply brings a configuration into force if it is newer than the one in force. The store's
 // value is rejected if it can't be decoded. The position up to which the configuration is the
 // newest becomes known in the same step: a node that got the version without it would read
-// the whole configuration from the store.
+// the whole configuration from the store. That of an undecodable one becomes known only if it
+// is the store's: for a value from another node, the store has to be asked.
 func (s *Subscriber) apply(data []byte, source string, position keeper.Position) {
 	c, err := s.config.Decode(data)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.confirmLocked(position)
+	if err == nil || source == storeSource {
+		s.confirmLocked(position)
+	}
 	if source == storeSource {
 		s.setRejectedLocked(err != nil)
 	}
--- a/internal/proxy/subscriber/subscriber_test.go
+++ b/internal/proxy/subscriber/subscriber_test.go
@@ -82,6 +82,19 @@
 	})
 }
 
+// If the position of a configuration that the node can't decode counted as known, a watch from
+// there would never deliver that version, although the store may have it in a usable form.
+func TestUndecodableConfigurationOfOtherNodeConfirmsNoPosition(t *testing.T) {
+	Convey("A relay passes on a version that this release can't decode", t, func() {
+		s := newRelease(1)
+		s.apply([]byte("1"), "relay", keeper.Position{Era: 1, Revision: 10})
+		s.apply([]byte("2"), "relay", keeper.Position{Era: 1, Revision: 11})
+		So(s.knownPosition(), ShouldResemble, keeper.Position{Era: 1, Revision: 10})
+		_, _, revision := replyOf(s, 1)
+		So(revision, ShouldEqual, forwarder.Pack(keeper.Position{Era: 1, Revision: 10}))
+	})
+}
+
 // Neither the relays nor the store give a node the newest version, but its calls reach a
 // node that has it.
 func TestHintedVersionIsRequestedFromItsNode(t *testing.T) {
