tracker: a late heartbeat of an instance that was replaced or is absent does not count

What callers would see: a heartbeat that a partition delayed, of an upstream that has ended, makes it available again. If another instance is at the address (the node marked the upstream absent after its reply), the next call is refused there with 421, which counts as an attempt and against the budget for retries. If neither has a start time, the live one is displaced: its connections are dropped, its queued calls go to an address where nobody may listen, until its next heartbeat.

Cause: after MarkAbsent any heartbeat counted, and of two instances without a start time the last to arrive. Such heartbeats are possible: the protocol's example has no start time. Rejecting heartbeats without a start time was ruled out for the same reason.

Now a heartbeat of the incarnation that was replaced last, or whose address another one has, counts only when nothing has shown the current state for 5 s (some intervals between heartbeats), so that one which has not ended comes back. Any other incarnation counts at once after MarkAbsent, also one with an earlier start, since clocks may be set back. MarkAbsent has the time as a parameter; the calls in the older tests are otherwise unchanged.

Before: go test -run TestLateHeartbeatOfFormer ./internal/proxy/tracker tracker_test.go Line 91: Expected: tracker.Verdict(0) Actual: tracker.Verdict(2) tracker_test.go Line 101: Expected: tracker.Verdict(0) Actual: tracker.Verdict(2) After: ok, with internal/proxy/..., platform/... and standin/...

--- a/internal/proxy/executor/executor.go
+++ b/internal/proxy/executor/executor.go
@@ -372,7 +372,7 @@
 // over meanwhile.
 func (e *Executor) markAbsent(incarnation tracker.Incarnation) {
 	e.mu.Lock()
-	marked := e.tracker.MarkAbsent(incarnation)
+	marked := e.tracker.MarkAbsent(incarnation, time.Now())
 	if marked {
 		e.queue.RefuseAll()
 	}
--- a/internal/proxy/tracker/tracker.go
+++ b/internal/proxy/tracker/tracker.go
@@ -80,12 +80,22 @@
 	// upstream sent before it began to drain may arrive afterwards, also at a node process
 	// that started in between, and must not make the upstream ready again.
 	draining map[Incarnation]time.Time
+	// former is the incarnation that was replaced last, or the absent one. Its late heartbeats
+	// must not count; if it sends them because it has not ended, they must in the end.
+	former Incarnation
+	// shownAt is when the current state was shown last, by a heartbeat or by another instance
+	// at the address.
+	shownAt time.Time
 }
 
 // drainingRetention is how long the record of a draining incarnation is kept. For that
 // long, late heartbeats of the incarnation may still arrive.
 const drainingRetention = 5 * time.Minute
 
+// silentTime is how long nothing must have shown the current state before a heartbeat of the
+// former incarnation counts again. It is some intervals between heartbeats.
+const silentTime = 5 * time.Second
+
 // New returns a tracker without an upstream.
 func New() *Tracker { return &Tracker{draining: map[Incarnation]time.Time{}} }
 
@@ -96,7 +106,7 @@
 // whatever the verdict is, since it is of no use that the upstream sends an outdated one
 // again.
 func (t *Tracker) Accept(h Heartbeat, now time.Time) Verdict {
-	if t.outdated(h) {
+	if t.outdated(h) || t.isLateFormer(h, now) {
 		return Outdated
 	}
 	before := t.current
@@ -108,7 +118,8 @@
 	if since, draining := t.drainingSince(Incarnation{h.Instance, h.Born}); draining {
 		next.State, next.DrainingSince = Draining, since
 	}
-	t.current = next
+	t.replaceFormer(before.Incarnation(), h.Incarnation())
+	t.current, t.shownAt = next, now
 	if sameIncarnation && before.State == next.State && before.Slots == h.Slots && before.Service == h.Service {
 		return Refreshed
 	}
@@ -117,7 +128,7 @@
 
 // outdated reports whether a heartbeat is older than the current state: it was sent by an
 // incarnation that started earlier, or earlier by the same incarnation. Two instances with
-// the same start have no order; the heartbeat that arrives last counts.
+// the same start have no order; isLateFormer decides.
 func (t *Tracker) outdated(h Heartbeat) bool {
 	c := t.current
 	if c.State == Absent {
@@ -129,6 +140,21 @@
 	return c.Instance == h.Instance && h.Sequence <= c.Sequence
 }
 
+// isLateFormer reports whether a heartbeat is probably a late one of the former incarnation.
+func (t *Tracker) isLateFormer(h Heartbeat, now time.Time) bool {
+	return h.Incarnation() == t.former && now.Sub(t.shownAt) < silentTime
+}
+
+// replaceFormer updates the former incarnation when a heartbeat has been accepted.
+func (t *Tracker) replaceFormer(before, next Incarnation) {
+	if t.former == next {
+		t.former = Incarnation{}
+	}
+	if before != next {
+		t.former = before
+	}
+}
+
 // Deregister marks an instance as draining from now on. Born is 0 if the message did
 // not specify it, which means the current incarnation if the instance is the current
 // one.
@@ -180,11 +206,12 @@
 
 // MarkAbsent records that another instance answers at the address of the given incarnation,
 // and reports whether that is the current one. The upstream is absent until the next
-// heartbeat, of any instance.
-func (t *Tracker) MarkAbsent(incarnation Incarnation) bool {
+// heartbeat of any other incarnation.
+func (t *Tracker) MarkAbsent(incarnation Incarnation, now time.Time) bool {
 	if t.current.Incarnation() != incarnation {
 		return false
 	}
 	t.current.State = Absent
+	t.former, t.shownAt = incarnation, now
 	return true
 }
--- a/internal/proxy/tracker/tracker_test.go
+++ b/internal/proxy/tracker/tracker_test.go
@@ -65,9 +65,9 @@
 	Convey("The instance is absent once another instance answers at its address", t, func() {
 		tr := New()
 		tr.Accept(heartbeat("i", 1, 1), now)
-		tr.MarkAbsent(Incarnation{Instance: "other"})
+		tr.MarkAbsent(Incarnation{Instance: "other"}, now)
 		So(tr.Current().State, ShouldEqual, Ready)
-		tr.MarkAbsent(tr.Current().Incarnation())
+		tr.MarkAbsent(tr.Current().Incarnation(), now)
 		So(tr.Current().State, ShouldEqual, Absent)
 		So(tr.Accept(heartbeat("next", 2, 1), now), ShouldEqual, Changed)
 	})
@@ -76,11 +76,43 @@
 		tr.Accept(heartbeat("i", 1, 1), now)
 		former := tr.Current().Incarnation()
 		tr.Accept(heartbeat("i", 2, 1), now)
-		So(tr.MarkAbsent(former), ShouldBeFalse)
+		So(tr.MarkAbsent(former, now), ShouldBeFalse)
 		So(tr.Current().State, ShouldEqual, Ready)
 	})
 }
 
+// A late heartbeat of an instance that has ended must neither displace the upstream in its
+// place nor make a dead one available.
+func TestLateHeartbeatOfFormerInstanceIsOutdated(t *testing.T) {
+	Convey("An instance without a start time that another one has replaced", t, func() {
+		tr := New()
+		tr.Accept(heartbeat("former", 0, 5), now)
+		So(tr.Accept(heartbeat("next", 0, 1), now), ShouldEqual, Changed)
+		So(tr.Accept(heartbeat("former", 0, 6), now.Add(time.Second)), ShouldEqual, Outdated)
+		So(tr.Current().Instance, ShouldEqual, "next")
+		Convey("counts again only when the other one is silent", func() {
+			shown := now.Add(2 * time.Second)
+			So(tr.Accept(heartbeat("next", 0, 2), shown), ShouldEqual, Refreshed)
+			So(tr.Accept(heartbeat("former", 0, 7), now.Add(silentTime)), ShouldEqual, Outdated)
+			So(tr.Accept(heartbeat("former", 0, 8), shown.Add(silentTime)), ShouldEqual, Changed)
+		})
+	})
+	Convey("An instance whose address another one has", t, func() {
+		tr := New()
+		tr.Accept(heartbeat("former", 7, 5), now)
+		tr.MarkAbsent(tr.Current().Incarnation(), now)
+		So(tr.Accept(heartbeat("former", 7, 6), now.Add(time.Second)), ShouldEqual, Outdated)
+		So(tr.Current().State, ShouldEqual, Absent)
+		Convey("counts again if its heartbeats continue", func() {
+			So(tr.Accept(heartbeat("former", 7, 7), now.Add(silentTime)), ShouldEqual, Changed)
+			So(tr.Accept(heartbeat("former", 7, 8), now.Add(silentTime+time.Second)), ShouldEqual, Refreshed)
+		})
+		Convey("does not hold back the other one, whose clock may be behind", func() {
+			So(tr.Accept(heartbeat("next", 6, 1), now.Add(time.Second)), ShouldEqual, Changed)
+		})
+	})
+}
+
 func TestDrainingRecordedBeforeFirstHeartbeatIsKept(t *testing.T) {
 	start := time.Unix(100, 0)
 	first := Heartbeat{Instance: "i", Born: 5, Sequence: 3, Service: "s", Slots: 4}
