balancer: a fast failure is no first service time

What callers would see: an upstream that answers its first call of a kind with an error after 1 ms is taken for one with a service time of 1 ms, until answers correct that by 15 % each. Calls prefer it as soon as its failures are forgotten (3 s), and the mean over the upstreams, from which the delay of hedges comes, is too low.

Cause: the time of a failure counts if it exceeds the mean, and without samples the mean was 0. Now it has to exceed the mean of the other upstreams then (the default without one), as is assumed for this upstream until its first answer. Slow failures count as before.

Before: go test -run TestFailingUpstreamIsAvoided ./internal/proxy/balancer balancer_test.go Line 110: Expected: time.Duration Actual: time.Duration(1000000) After: ok, with internal/proxy/..., platform/... and standin/...

--- a/internal/proxy/balancer/balancer.go
+++ b/internal/proxy/balancer/balancer.go
@@ -264,7 +264,8 @@
 	// Failed reports whether the upstream failed, or its node did.
 	Failed bool
 	// Elapsed is how long the upstream had the call, if it gave no usable answer. It
-	// counts as a service time if it exceeds the mean.
+	// counts as a service time if it exceeds the mean; without one, that of the service's
+	// other upstreams.
 	Elapsed time.Duration
 	// Unreachable reports whether the upstream can't take any call at the moment.
 	Unreachable bool
@@ -298,7 +299,7 @@
 		rate := c.currentFailureRate(now)
 		c.failureRate, c.failureRateAt = rate+smoothing*(1-rate), now
 	}
-	if !o.Answered && o.Elapsed > c.serviceTimes[o.Kind].mean {
+	if !o.Answered && o.Elapsed > b.ownServiceTime(c, o.Kind, now) {
 		c.recordServiceTime(o.Kind, o.Elapsed, now)
 	}
 }
--- a/internal/proxy/balancer/balancer_test.go
+++ b/internal/proxy/balancer/balancer_test.go
@@ -101,6 +101,16 @@
 		retry.Tried = []string{"x", "y"}
 		So(pickedZone(b, retry), ShouldEqual, "")
 	})
+	Convey("An upstream whose first calls fail at once is not taken for a fast one", t, func() {
+		b := newPair(50*ms, 50*ms)
+		b.Update(Member{Node: "broken", Start: 1, Sequence: 1, Zone: "x", Service: "s", Instance: "i", Slots: 4})
+		c := b.members["broken"]
+		c.inFlight++
+		b.Done(c, Outcome{Kind: "k", Failed: true, Elapsed: ms}, now)
+		So(b.expectedTime(c, callOf(1, 600*ms), now), ShouldEqual, 50*ms)
+		mean, _ := b.MeanServiceTime("s", "k")
+		So(mean, ShouldEqual, 50*ms)
+	})
 	Convey("A draining upstream is picked only as the last resort", t, func() {
 		b := newPair(50*ms, 50*ms)
 		b.Update(Member{Node: "x", Start: 1, Sequence: 2, Zone: "x", Service: "s", Instance: "i-x", Slots: 4, Draining: true})
--- a/internal/proxy/balancer/estimate.go
+++ b/internal/proxy/balancer/estimate.go
@@ -96,6 +96,15 @@
 	}
 }
 
+// ownServiceTime is the mean service time at a candidate, or without samples the estimate of
+// serviceTime.
+func (b *Balancer) ownServiceTime(c *Candidate, kind string, now time.Time) time.Duration {
+	if own, known := c.serviceTimes[kind]; known {
+		return own.mean
+	}
+	return b.serviceTime(c, kind, now)
+}
+
 // mean returns the mean service time of a kind of call over all candidates but one, each
 // with the same weight. It is zero if there are no samples.
 func mean(candidates []*Candidate, kind string, except *Candidate) time.Duration {
