runner: a change of the settings while the proxy starts is noticed

What an operator would see: settings written while a node reads its file or starts (some seconds) are not used until the file changes once more or the node gets SIGHUP. Cause: the time of modification with which later ones are compared was taken after the start. Now it is taken before each read.

--- a/internal/proxy/runner/runner.go
+++ b/internal/proxy/runner/runner.go
@@ -46,7 +46,8 @@
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	debug.SetGCPercent(gcPercent)
-	settings, err := reader.Load(options.Settings)
+	source := &file{path: options.Settings}
+	settings, err := source.load()
 	if err != nil {
 		_, _ = fmt.Fprintln(errorOutput, err)
 		var findings collector.Findings
@@ -63,16 +64,15 @@
 		_, _ = fmt.Fprintln(errorOutput, err)
 		return ExitFailure
 	}
-	serveUntilSignal(proxy, options.Settings, signals)
+	serveUntilSignal(proxy, source, signals)
 	return ExitOK
 }
 
 // serveUntilSignal reloads the settings on SIGHUP and when their file changes, until
 // another signal stops the proxy.
-func serveUntilSignal(proxy *assembler.Proxy, path string, signals <-chan os.Signal) {
+func serveUntilSignal(proxy *assembler.Proxy, source *file, signals <-chan os.Signal) {
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
-	lastModified := modTime(path)
 	for {
 		select {
 		case s := <-signals:
@@ -80,17 +80,34 @@
 				proxy.Stop(s.String())
 				return
 			}
-			lastModified = modTime(path)
-			reload(proxy, path)
+			reload(proxy, source)
 		case <-ticker.C:
-			if modified := modTime(path); !modified.Equal(lastModified) {
-				lastModified = modified
-				reload(proxy, path)
+			if source.changed() {
+				reload(proxy, source)
 			}
 		}
 	}
 }
 
+// file is a settings file.
+type file struct {
+	path string
+	// modified is the time of the file's last modification, taken before it was read last, so
+	// that a change while it is read, or until the proxy has started, is noticed.
+	modified time.Time
+}
+
+// load reads and validates the file.
+func (f *file) load() (*reader.Settings, error) {
+	f.modified = modTime(f.path)
+	return reader.Load(f.path)
+}
+
+// changed reports whether the file was modified after it was read last.
+func (f *file) changed() bool {
+	return !modTime(f.path).Equal(f.modified)
+}
+
 // modTime returns when the file was last modified; zero if it can't be read. That counts as
 // a change, and so does the return of the file.
 func modTime(path string) time.Time {
@@ -103,8 +120,8 @@
 
 // reload applies the settings file to the running proxy. If the file is unreadable or
 // invalid, the settings in use stay in force.
-func reload(proxy *assembler.Proxy, path string) {
-	settings, err := reader.Load(path)
+func reload(proxy *assembler.Proxy, f *file) {
+	settings, err := f.load()
 	if err == nil {
 		proxy.Reload(settings)
 	}
