--- a/internal/proxy/runner/runner_test.go
+++ b/internal/proxy/runner/runner_test.go
@@ -35,7 +35,7 @@
 		signals := make(chan os.Signal, 4)
 		signals <- syscall.SIGHUP
 		signals <- syscall.SIGTERM
-		go serveUntilSignal(p, path, signals)
+		go serveUntilSignal(p, &file{path: path}, signals)
 		defer func() {
 			// Lets a reload that is blocked end.
 			if writer, err := os.OpenFile(path, os.O_WRONLY|syscall.O_NONBLOCK, 0); err == nil {
@@ -50,3 +50,21 @@
 		}
 	})
 }
+
+// A change of the settings while the proxy starts must not be missed: nothing else would make
+// it read the file again.
+func TestChangeOfSettingsDuringStartIsNoticed(t *testing.T) {
+	Convey("A file that has been read", t, func() {
+		f := &file{path: filepath.Join(t.TempDir(), "settings.yaml")}
+		So(os.WriteFile(f.path, nil, 0o600), ShouldBeNil)
+		_, _ = f.load()
+		later := time.Now().Add(time.Second)
+		So(os.Chtimes(f.path, later, later), ShouldBeNil)
+		So(f.changed(), ShouldBeTrue)
+
+		_, _ = f.load()
+		So(f.changed(), ShouldBeFalse)
+		So(os.Remove(f.path), ShouldBeNil)
+		So(f.changed(), ShouldBeTrue)
+	})
+}
