forwarder: a jump of the time of day is no silence of a peer

What callers would see when a VM's time of day jumps (also: when the VM resumes, since the time of day includes a suspension). Forward by more than half a second: each connection to another node with a call that waits for its first 200 ms is closed as unresponsive, although data came just before; all calls on it are sent again or fail over at the cost of the retry budget, and the upstreams of all these nodes are ejected. Back by 5 s: a connection that has died meanwhile is neither probed nor closed for up to 5 s, and calls wait there until their deadline; a connection probed just before the jump is not probed again for 5 s, so a living one over which a long call waits is closed as silent.

Cause: the last read and the last probe were kept in Unix nanoseconds, and so compared by the time of day. Now they are durations since the connection was opened, by the steady clock.

--- a/internal/proxy/forwarder/peer.go
+++ b/internal/proxy/forwarder/peer.go
@@ -35,10 +35,11 @@
 )
 
 // monitoredConn is a connection that records when it last received data and counts the
-// writes.
+// writes. It measures times from opened, so that a jump of the time of day is no silence.
 type monitoredConn struct {
 	net.Conn
-	// lastRead is the time of the last read that returned data, in Unix nanoseconds.
+	opened time.Time
+	// lastRead is the time of the last read that returned data, in nanoseconds after opened.
 	lastRead atomic.Int64
 	// writes counts the calls of Write. It shows whether a call was written at all.
 	writes atomic.Int64
@@ -54,26 +55,29 @@
 func (m *monitoredConn) Read(b []byte) (int, error) {
 	n, err := m.Conn.Read(b)
 	if n > 0 {
-		m.lastRead.Store(time.Now().UnixNano())
+		m.received(time.Now())
 	}
 	return n, err
 }
 
+// received records that data was received.
+func (m *monitoredConn) received(now time.Time) { m.lastRead.Store(int64(now.Sub(m.opened))) }
+
 // idleTime returns how long the connection has received no data, counted from since if
 // that is later than the last read.
-func (m *monitoredConn) idleTime(since time.Time) time.Duration {
-	last := time.Unix(0, m.lastRead.Load())
+func (m *monitoredConn) idleTime(since, now time.Time) time.Duration {
+	last := m.opened.Add(time.Duration(m.lastRead.Load()))
 	if last.Before(since) {
 		last = since
 	}
-	return time.Since(last)
+	return now.Sub(last)
 }
 
 // connection is an open connection to a peer with its RPC client.
 type connection struct {
 	*rpc.Client
 	conn *monitoredConn
-	// lastProbe is the time of the last probe, in Unix nanoseconds.
+	// lastProbe is the time of the last probe, in nanoseconds after conn was opened.
 	lastProbe atomic.Int64
 }
 
@@ -160,9 +164,15 @@
 	if err != nil {
 		return
 	}
-	m := &monitoredConn{Conn: conn}
-	m.lastRead.Store(time.Now().UnixNano())
-	p.connection = &connection{Client: rpc.NewClientWithCodec(coder.NewClientCodec(m)), conn: m}
+	p.connection = newConnection(conn, time.Now())
+}
+
+// newConnection starts an RPC client on a connection that was opened just now.
+func newConnection(conn net.Conn, now time.Time) *connection {
+	m := &monitoredConn{Conn: conn, opened: now}
+	l := &connection{Client: rpc.NewClientWithCodec(coder.NewClientCodec(m)), conn: m}
+	l.lastProbe.Store(-int64(probeTimeout))
+	return l
 }
 
 // drop closes a connection, so that the next call opens a new one.
@@ -209,14 +219,15 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-timer.C:
-			idleTime := l.conn.idleTime(start)
+			now := time.Now()
+			idleTime := l.conn.idleTime(start, now)
 			if idleTime >= probeAfter+probeTimeout {
 				p.drop(l)
 				p.onUnresponsive(p.address)
 				return errUnresponsive
 			}
-			if idleTime >= probeAfter {
-				l.probe()
+			if idleTime >= probeAfter && l.probeDue(now) {
+				l.Go(serviceName+".Ping", &Empty{}, &Empty{}, make(chan *rpc.Call, 1))
 			}
 			// A quarter of probeTimeout bounds how late the end of probeTimeout is detected.
 			timer.Reset(max(probeAfter-idleTime, probeTimeout/4))
@@ -224,13 +235,10 @@
 	}
 }
 
-// probe pings the peer, at most once per probeTimeout. Any received data shows that the
-// connection is alive.
-func (l *connection) probe() {
-	now := time.Now().UnixNano()
+// probeDue reports whether the peer is to be pinged now, at most once per probeTimeout. Any
+// received data shows that the connection is alive.
+func (l *connection) probeDue(now time.Time) bool {
+	at := int64(now.Sub(l.conn.opened))
 	last := l.lastProbe.Load()
-	if now-last < int64(probeTimeout) || !l.lastProbe.CompareAndSwap(last, now) {
-		return
-	}
-	l.Go(serviceName+".Ping", &Empty{}, &Empty{}, make(chan *rpc.Call, 1))
+	return at-last >= int64(probeTimeout) && l.lastProbe.CompareAndSwap(last, at)
 }
