retrier: a jump of the time of day does not move the budget's window

What callers would see: after a jump back by 5 s, failed calls that the budget would allow to be retried are answered with the failure, for up to 5 s longer than the window, since the window stands still until the time of day has caught up; after a jump forward by 5 s, half a window of retries is forgotten, and a node may spend up to half of its slack once more in the same window (within the common budget, of which callers' retries get half).

Cause: buckets were numbered by the Unix time. They are now numbered from the first count on, by the steady clock.

Before: go test ./internal/proxy/retrier Line 77: Expected: false Actual: true Line 77: Expected: true Actual: false --- FAIL: TestStepOfClockDoesNotChangeTheBudget After: ok, with internal/proxy/..., platform/... and standin/...

--- a/internal/proxy/retrier/retrier.go
+++ b/internal/proxy/retrier/retrier.go
@@ -30,12 +30,15 @@
 // Retrier counts the calls and retries of each service. It is not safe for concurrent
 // use: its owner must hold a lock.
 type Retrier struct {
-	budget   Budget
+	budget Budget
+	// began is the time of the first count. Times are measured from it, so that a jump of the
+	// time of day does not move the windows.
+	began    time.Time
 	services map[string]*window
 }
 
 // window holds the recent calls and retries of one service. Buckets are numbered from the
-// Unix epoch on; the counts of a bucket are at its number modulo the length of the array.
+// first count on; the counts of a bucket are at its number modulo the length of the array.
 type window struct {
 	calls   [buckets + 1]float64
 	retries [buckets + 1]float64
@@ -50,12 +53,15 @@
 
 // window returns the window of a service, moved to the current time.
 func (r *Retrier) window(service string, now time.Time) *window {
+	if r.began.IsZero() {
+		r.began = now
+	}
 	w := r.services[service]
 	if w == nil {
 		w = &window{}
 		r.services[service] = w
 	}
-	w.advance(now.UnixNano() / max(1, int64(r.budget.Window/buckets)))
+	w.advance(int64(now.Sub(r.began) / max(1, r.budget.Window/buckets)))
 	return w
 }
 
--- a/internal/proxy/retrier/retrier_test.go
+++ b/internal/proxy/retrier/retrier_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/tamarackscale/tamarackscale/standin/clock"
 )
 
 // Guards against retry storms: each node decides on retries alone, so that its share of
@@ -54,3 +56,25 @@
 		So(r.Allow("a", 1, now.Add(time.Hour)), ShouldBeTrue)
 	})
 }
+
+// Guards against a jump of the time of day that renews a spent budget or keeps it spent.
+func TestStepOfClockDoesNotChangeTheBudget(t *testing.T) {
+	budget := Budget{Slack: 56, Window: 10 * time.Second}
+	cases := []struct {
+		seconds int
+		after   time.Duration
+		allowed bool
+	}{
+		{5, 7 * time.Second, false},
+		{-5, 12 * time.Second, true},
+	}
+	for _, c := range cases {
+		Convey("A spent budget is renewed after a window by the steady clock", t, func() {
+			r := New(budget)
+			now := time.Now()
+			for r.Allow("s", 1, now) {
+			}
+			So(r.Allow("s", 1, clock.Step(now.Add(c.after), c.seconds)), ShouldEqual, c.allowed)
+		})
+	}
+}
