stopper: the test of a late request passes the race detector

The test passed the connection and the error of the write to the hook by variables, ordered by simulated time only. It passes them by channels now and checks the same: without the second wait of the stop it still fails with stop_test.go Line 153: Expected: nil Actual: 'unexpected EOF'

--- a/internal/proxy/assembler/stop_test.go
+++ b/internal/proxy/assembler/stop_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -121,12 +120,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		Convey("A node that stops", t, func() {
 			n := network.New()
-			var conn io.ReadWriteCloser
-			sent := errors.New("not sent")
+			conns, sent := make(chan io.Writer, 1), make(chan error, 1)
 			hooked := hookedNetwork{Host: n.Host("vm-1"), address: callers, closing: func() {
-				_, sent = io.WriteString(conn, mesh.Request(http.MethodGet, host, readPrefix, "late", time.Second))
+				_, err := io.WriteString(<-conns, mesh.Request(http.MethodGet, host, readPrefix, "late", time.Second))
 				// The response is ready now, and waits for the caller to read it.
 				synctest.Wait()
+				sent <- err
 			}}
 			p, err := assembler.New(assembler.Config{Output: io.Discard, Network: hooked, Settings: &reader.Settings{
 				Node:     reader.Node{ID: "vm-1", IP: "10.0.0.1", AvailabilityZone: "x"},
@@ -145,10 +144,11 @@
 				close(stopped)
 			}()
 			time.Sleep(2400 * time.Millisecond)
-			conn, err = n.Host("vm-1").Dial(ctx, callers)
+			conn, err := n.Host("vm-1").Dial(ctx, callers)
 			So(err, ShouldBeNil)
-			time.Sleep(300 * time.Millisecond)
-			So(sent, ShouldBeNil)
+			conns <- conn
+			So(<-sent, ShouldBeNil)
+			time.Sleep(100 * time.Millisecond)
 			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 			So(err, ShouldBeNil)
 			So(response.StatusCode, ShouldEqual, http.StatusServiceUnavailable)
