forwarder: an attempt that a node can't take has not run

What callers would see: 504 for calls that went to a node of another version, during a release that changes the message of an attempt or the name of its method. Other nodes could have run them.

Cause: Forward took the error that the node replies for a failure of the connection. It sent the attempt again every 100 ms until the deadline, and then had to say that the call may have run.

net/rpc replies an error before Run begins, if it doesn't know the method or can't decode the message, and Run returns none. So this message has not run; an earlier one with the same ID may have, and then the result says so.

--- a/internal/proxy/forwarder/forwarder.go
+++ b/internal/proxy/forwarder/forwarder.go
@@ -139,6 +139,10 @@
 		case ctx.Err() != nil:
 			go f.cancel(m.Address, id)
 			return RunReply{Result: cancelledResult(ctx, a.mayHaveArrived)}
+		case isServerError(err):
+			// The node can't take the message, as one of another version may. Run itself
+			// returns no error.
+			return lostReply(mayHaveRun)
 		case !a.mayHaveArrived && errors.Is(err, errNotSent) && sends == 1:
 			// The connection had been closed before; open a new one without delay.
 			continue
--- a/internal/proxy/forwarder/receiver_test.go
+++ b/internal/proxy/forwarder/receiver_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"net"
+	"net/rpc"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +16,7 @@
 	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/coder"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/encoder"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/executor"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/fencer"
 )
 
@@ -130,3 +133,31 @@
 		})
 	})
 }
+
+// pingOnly is the RPC service of a node of a version that can't take the attempt.
+type pingOnly struct{}
+
+func (pingOnly) Ping(*Empty, *Empty) error { return nil }
+
+// A node that replies that it can't take an attempt has not run it. The call must go to another
+// node instead of waiting for its deadline.
+func TestAttemptThatNodeCannotTakeHasNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("An attempt at a node of another version", t, func() {
+			server := rpc.NewServer()
+			So(server.RegisterName(serviceName, pingOnly{}), ShouldBeNil)
+			f := New("near", 10, func(context.Context, string) (net.Conn, error) {
+				near, far := net.Pipe()
+				go server.ServeCodec(coder.NewServerCodec(far, &atomic.Int64{}))
+				return near, nil
+			})
+			defer f.Close()
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			start := time.Now()
+			reply := f.Forward(ctx, balancer.Member{Address: "far", Start: 20}, executor.Job{}, false)
+			So(reply.Result, ShouldResemble, carrier.Refuse(carrier.PeerUnreachable))
+			So(time.Since(start), ShouldEqual, 0)
+		})
+	})
+}
