forwarder: neither a long write nor a stall counts as silence of the peer

What callers would see: 502 or a second run of calls to a sound node, all those in flight to it at once, when one of them has a long body and the link is slow, or when this process gets little processor time.

Cause: the silence of a connection was counted from before the message was written, and by time alone. A message that takes 500 ms to write, or a stall of 500 ms, was followed by a look that found the limit exceeded: it closed the connection without ever having probed the peer.

Silence now begins once the message is written, and a connection is closed at the fifth silent look in a row; the first one probes. Without a long write or a stall that is 500 ms, as before.

Left open: what the kernel still holds in its send buffer when the write has returned counts as written.

--- a/internal/proxy/forwarder/peer.go
+++ b/internal/proxy/forwarder/peer.go
@@ -22,6 +22,8 @@
 	// it is probed, and probeTimeout how much longer before it is closed as unresponsive.
 	probeAfter   = 200 * time.Millisecond
 	probeTimeout = 300 * time.Millisecond
+	// lookInterval is the interval between looks for data on a silent connection.
+	lookInterval = probeTimeout / 4
 )
 
 var (
@@ -195,7 +197,6 @@
 // error other than that of the context or one that the peer replied, the connection is
 // closed.
 func (p *peer) call(ctx context.Context, l *connection, method string, args, reply any) error {
-	start := time.Now()
 	writesBefore := l.conn.writes.Load()
 	pending := l.Go(serviceName+"."+method, args, reply, make(chan *rpc.Call, 1))
 	if l.conn.writes.Load() == writesBefore {
@@ -204,9 +205,11 @@
 		p.drop(l)
 		return errNotSent
 	}
+	// A long message may take a while to write. Until then no reply to it can arrive.
+	start := time.Now()
 	timer := time.NewTimer(probeAfter)
 	defer timer.Stop()
-	for {
+	for silentLooks := 0; ; {
 		select {
 		case <-pending.Done:
 			if pending.Error != nil && !isServerError(pending.Error) {
@@ -217,16 +220,20 @@
 			return ctx.Err()
 		case <-timer.C:
 			idleTime := l.conn.idleTime(start)
-			if idleTime >= probeAfter+probeTimeout {
+			if idleTime < probeAfter {
+				silentLooks = 0
+				timer.Reset(max(probeAfter-idleTime, lookInterval))
+				continue
+			}
+			// The first silent look probes. If this process was stalled, the reply to it
+			// still has the whole probeTimeout, since the looks count and not the time.
+			if silentLooks++; silentLooks > int(probeTimeout/lookInterval) {
 				p.drop(l)
 				p.onUnresponsive(p.address)
 				return errUnresponsive
 			}
-			if idleTime >= probeAfter {
-				l.probe()
-			}
-			// A quarter of probeTimeout bounds how late the end of probeTimeout is detected.
-			timer.Reset(max(probeAfter-idleTime, probeTimeout/4))
+			l.probe()
+			timer.Reset(lookInterval)
 		}
 	}
 }
--- /dev/null
+++ b/internal/proxy/forwarder/peer_test.go
@@ -0,0 +1,58 @@
+package forwarder
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/coder"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/executor"
+)
+
+// slowNode is an RPC service that replies to an attempt after a time.
+type slowNode struct{ time time.Duration }
+
+func (slowNode) Ping(*Empty, *Empty) error { return nil }
+
+func (n slowNode) Run(*RunArgs, *RunReply) error {
+	time.Sleep(n.time)
+	return nil
+}
+
+// slowLink takes a time for each byte that is written.
+type slowLink struct {
+	net.Conn
+	perByte time.Duration
+}
+
+// Write implements net.Conn.
+func (c slowLink) Write(b []byte) (int, error) {
+	time.Sleep(time.Duration(len(b)) * c.perByte)
+	return c.Conn.Write(b)
+}
+
+// A node replies in time to a long message over a slow link. The time of writing is not
+// silence of the node: the connection, with all calls in flight on it, must not be closed.
+func TestSlowWriteIsNotSilenceOfThePeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("An attempt with a body of 1 MB over a link of 8 Mbit/s", t, func() {
+			server := rpc.NewServer()
+			So(server.RegisterName(serviceName, slowNode{400 * time.Millisecond}), ShouldBeNil)
+			f := New("near", 10, func(context.Context, string) (net.Conn, error) {
+				near, far := net.Pipe()
+				go server.ServeCodec(coder.NewServerCodec(far, &atomic.Int64{}))
+				return slowLink{near, time.Microsecond}, nil
+			})
+			defer f.Close()
+			args := &RunArgs{Job: executor.Job{Call: carrier.Call{Body: make([]byte, 1_000_000)}}}
+			So(f.Call(context.Background(), "far", "Run", args, &RunReply{}), ShouldBeNil)
+		})
+	})
+}
