acceptor: a response that can't be written cancels the other calls of its connection

What an upstream would see: work goes on for a caller that has left, up to the calls' deadlines, if a further request was read behind a response whose writing failed: the reading goroutine waits for the earlier responses then and reads no end of the input.

--- a/internal/proxy/acceptor/conn.go
+++ b/internal/proxy/acceptor/conn.go
@@ -67,6 +67,8 @@
 	// state tells whether the connection may be closed. Only the goroutine that reads requests
 	// closes an idle connection, since it alone knows whether it has read anything.
 	state state
+	// cancel cancels the calls in flight.
+	cancel context.CancelFunc
 }
 
 func newConn(acceptor *Acceptor, raw net.Conn) *conn {
@@ -81,7 +83,8 @@
 // serve reads requests until the connection ends. The end of the caller's input counts
 // as a disconnect, which cancels the calls in flight.
 func (c *conn) serve() {
-	ctx, cancel := context.WithCancel(context.Background())
+	var ctx context.Context
+	ctx, c.cancel = context.WithCancel(context.Background())
 	defer c.acceptor.remove(c)
 	defer close(c.work)
 	previous := make(chan struct{})
@@ -91,7 +94,7 @@
 		if err != nil {
 			c.finish(err, previous)
 			c.abandonRead()
-			cancel()
+			c.cancel()
 			return
 		}
 		received := time.Now()
@@ -99,7 +102,7 @@
 		c.pipelined <- struct{}{}
 		if !c.state.accept() {
 			c.drop(call, previous)
-			cancel()
+			c.cancel()
 			return
 		}
 		written := make(chan struct{})
@@ -107,7 +110,7 @@
 		previous = written
 		if request.Close {
 			c.lingerAndClose()
-			cancel()
+			c.cancel()
 			return
 		}
 	}
@@ -329,8 +332,8 @@
 	Refused: true, Status: http.StatusServiceUnavailable, Reason: string(carrier.Stopping), RetryAfter: stoppingRetryAfter,
 }
 
-// write writes a response. If it is the last one, or if the writing fails, no further
-// response is written.
+// write writes a response. If it is the last one, no further response is written. If the
+// writing fails, the other calls in flight are cancelled too.
 func (c *conn) write(call carrier.Call, r Response, last bool) {
 	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
 	var err error
@@ -341,6 +344,7 @@
 	}
 	if err != nil {
 		c.state.end()
+		c.cancel()
 		_ = c.raw.Close()
 		c.acceptor.observe.Unanswered(call, WriteFailed)
 		return
