acceptor: an interim response has a write deadline of its own

What a caller would see: its connection closes when it asks whether to send its body, more than 30 s after the last response on the connection: the interim response was written under that response's write deadline. Needs an idle timeout above 30 s.

--- a/internal/proxy/acceptor/conn.go
+++ b/internal/proxy/acceptor/conn.go
@@ -189,6 +189,7 @@
 	if strings.EqualFold(request.Header.Get("Expect"), "100-continue") {
 		// An interim response must not fall into the response to an earlier request.
 		<-previous
+		_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
 		if _, err := io.WriteString(c.raw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return nil, err
 		}
