--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -63,6 +63,8 @@
 
 	transport *http.Transport
 	servers   []*http.Server
+	// control serves the heartbeats of the upstream; nil before Start. It is among servers.
+	control   *http.Server
 	listeners []net.Listener
 	closeOnce sync.Once
 	// sequence counts the changes of this node's member record.
@@ -169,7 +171,7 @@
 	}
 	go p.receiver.Serve(peers)
 	go p.acceptor.Serve(callers)
-	p.serveHTTP(control, platform.ControlHandler(p))
+	p.control = p.serveHTTP(control, platform.ControlHandler(p))
 	p.serveHTTP(readiness, platform.ReadinessHandler(p.ready))
 	if s.Listen.Metrics != "" {
 		metrics, err := p.listen(s.Listen.Metrics)
@@ -192,11 +194,12 @@
 // the upstream.
 const httpServerTimeout = 30 * time.Second
 
-func (p *Proxy) serveHTTP(l net.Listener, handler http.Handler) {
+func (p *Proxy) serveHTTP(l net.Listener, handler http.Handler) *http.Server {
 	server := &http.Server{Handler: handler, IdleTimeout: httpServerTimeout, ReadHeaderTimeout: httpServerTimeout}
 	p.servers = append(p.servers, server)
 	// Serve returns when Close closes the server.
 	go func() { _ = server.Serve(l) }()
+	return server
 }
 
 func (p *Proxy) listen(address string) (net.Listener, error) {
@@ -218,9 +221,7 @@
 // subscriber, for which the caller cancels the context of Start.
 func (p *Proxy) Close() {
 	p.closeOnce.Do(func() {
-		for _, l := range p.listeners {
-			_ = l.Close()
-		}
+		p.closeListeners()
 		for _, server := range p.servers {
 			_ = server.Close()
 		}
@@ -233,9 +234,21 @@
 	})
 }
 
-// Reload replaces the settings. Listeners, bounds and store clients keep the settings
-// with which they were built.
-func (p *Proxy) Reload(s *reader.Settings) { p.settings.Store(s) }
+// closeListeners ends the accepting of connections. Those that are open stay open.
+func (p *Proxy) closeListeners() {
+	for _, l := range p.listeners {
+		_ = l.Close()
+	}
+}
+
+// Reload replaces the settings. The node keeps its name and addresses, and listeners, bounds
+// and store clients the settings with which they were built.
+func (p *Proxy) Reload(s *reader.Settings) {
+	inUse := p.settings.Load()
+	next := *s
+	next.Node.ID, next.Node.IP, next.Listen = inUse.Node.ID, inUse.Node.IP, inUse.Listen
+	p.settings.Store(&next)
+}
 
 // Reporter returns the writer of the proxy's log and metrics.
 func (p *Proxy) Reporter() *reporter.Reporter { return p.telemetry }
--- a/internal/proxy/assembler/stopper.go
+++ b/internal/proxy/assembler/stopper.go
@@ -42,25 +42,44 @@
 	p.acceptor.Stop()
 	p.acceptor.CloseIdle()
 	deadline := start.Add(p.bounds.Grace.Std() - exitMargin)
-	p.awaitIdle(deadline)
+	awaitIdle(deadline, idleWindow, p.busy)
+	// What was accepted since the last look is completed too; nothing new is accepted.
+	p.closeListeners()
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	p.acceptor.Shutdown(ctx)
+	awaitIdle(deadline, 0, p.busy)
+	p.acknowledgeControl(deadline)
 	p.telemetry.Stopped(p.acceptor.InFlight())
 	p.Close()
 }
 
-// awaitIdle waits until nothing has been in flight or queued for idleWindow, at most until
-// the deadline.
-func (p *Proxy) awaitIdle(deadline time.Time) {
-	idleSince := time.Now()
-	for now := time.Now(); now.Before(deadline); now = time.Now() {
-		if p.acceptor.InFlight() > 0 || p.executor.Busy() {
-			idleSince = now
+// acknowledgeControl waits until the control calls of the upstream that have arrived are
+// answered, at most until the deadline.
+func (p *Proxy) acknowledgeControl(deadline time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	// Close ends what has no answer by then.
+	_ = p.control.Shutdown(ctx)
+}
+
+// awaitIdle waits until busy has reported false throughout a window, at most until the
+// deadline. It counts the looks instead of the time: a process that was stalled between two
+// looks must first get to write what has become ready meanwhile.
+func awaitIdle(deadline time.Time, window time.Duration, busy func() bool) {
+	for idleLooks := 0; time.Now().Before(deadline); time.Sleep(idlePollInterval) {
+		if busy() {
+			idleLooks = 0
+			continue
 		}
-		if now.Sub(idleSince) >= idleWindow {
+		if idleLooks++; idleLooks > int(window/idlePollInterval) {
 			return
 		}
-		time.Sleep(idlePollInterval)
 	}
 }
+
+// busy reports whether anything is in flight or queued: a caller's call, a message of another
+// node, or a call at the upstream.
+func (p *Proxy) busy() bool {
+	return p.acceptor.InFlight() > 0 || p.receiver.Pending() > 0 || p.executor.Busy()
+}
