known red: a node that took the store's older version at its start stays on it

Found in review; product code is unchanged. A node alone in its zone starts while it is cut off from the others, takes the older version from the store and follows the store from then on. It asks no other node for a version again, so that it stays behind until the operator writes a later version or a call happens to be forwarded (one that its own upstream runs gives no hint: in a trial, 8 calls in 1.6 s after a minute were all served by the withdrawn configuration). A node that follows the store could ask one other node, in turn, at a low rate (without waiting, 'have' its own version), or the members' announcements could carry the version.

--- a/internal/proxy/assembler/consult_test.go
+++ b/internal/proxy/assembler/consult_test.go
@@ -43,3 +43,25 @@
 		So(nodeThatRan(m, "newest").Upstream.Service, ShouldEqual, "b")
 	})
 }
+
+// The store holds only an older version when a node starts that reaches no other node. Some
+// seconds after it reaches them again it must have the version in force, also if it has got no
+// calls meanwhile whose replies hint at it.
+func TestNodeStartedApartAfterLossInStoreCatchesUp(t *testing.T) {
+	inMesh(t, []string{"x", "x"}, func(m *mesh.Mesh) {
+		started, err := m.Add("y", "a", 2)
+		So(err, ShouldBeNil)
+		time.Sleep(6 * time.Second)
+		loseVersion(m)
+		started.Kill()
+		m.Network.Cut(func(from, to string) bool {
+			return from != to && from != "store" && to != "store" && (from == started.Name || to == started.Name)
+		})
+		time.Sleep(time.Second)
+		So(started.Start(), ShouldBeNil)
+		time.Sleep(3 * time.Second)
+		m.Network.Cut(nil)
+		time.Sleep(10 * time.Second)
+		So(started.Proxy.Version(), ShouldEqual, 5)
+	})
+}
