acceptor: the stop as the proxy does it, while a request is decoded

TestStopClosesNoConnectionWhoseRequestWasRead calls CloseIdle without Stop before it, which is not what the proxy does: after Stop, a call is refused in respond unless it is nested.

--- a/internal/proxy/acceptor/interleaving_test.go
+++ b/internal/proxy/acceptor/interleaving_test.go
@@ -128,3 +128,53 @@
 		})
 	}
 }
+
+// countingHandler counts the calls that it handles; nested says whether all are nested.
+type countingHandler struct {
+	slowHandler
+	nested  bool
+	handled *atomic.Int64
+}
+
+func (h countingHandler) Nested(carrier.Call) bool { return h.nested }
+
+func (h countingHandler) Handle(ctx context.Context, call carrier.Call, received time.Time) acceptor.Response {
+	h.handled.Add(1)
+	return h.slowHandler.Handle(ctx, call, received)
+}
+
+// The stop as the proxy does it, with Stop before CloseIdle, while a request is decoded. A nested
+// call was passed on and cut; any other one was not passed on and got no refusal.
+func TestStopWhileRequestIsDecoded(t *testing.T) {
+	for _, nested := range []bool{true, false} {
+		t.Run(fmt.Sprintf("nested %v", nested), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var a *acceptor.Acceptor
+				near, far := net.Pipe()
+				l := singleListener{conns: make(chan net.Conn, 1)}
+				l.conns <- far
+				close(l.conns)
+				stop := func() {
+					a.Stop()
+					a.CloseIdle()
+				}
+				h := countingHandler{slowHandler: slowHandler{time: time.Second}, nested: nested, handled: &atomic.Int64{}}
+				a = acceptor.New(dialectHook{decoding: stop}, h, silent{})
+				go a.Serve(l)
+				c := &caller{Conn: near, reader: bufio.NewReader(near)}
+				_, _ = io.WriteString(c, "GET /one HTTP/1.1\r\nHost: h\r\n\r\n")
+				response, _, err := c.receive()
+				status, handled := http.StatusServiceUnavailable, int64(0)
+				if nested {
+					status, handled = http.StatusOK, 1
+				}
+				if n := h.handled.Load(); err != nil || response.StatusCode != status || n != handled {
+					t.Errorf("the caller got %v (%v); handled %d times", response, err, n)
+				}
+				_ = near.Close()
+				a.Close()
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
