acceptor: a stopping node reads a request that has arrived before it closes the connection

What callers would see: a reset, some milliseconds to tens after they sent a request to a node that then closed its idle connections. Cause: the close worked by a read deadline in the past; such a read fails without looking, although the kernel has data that the process had no time to read. Now the deadline is 10 ms ahead, and the wait reads what is there.

--- a/internal/proxy/acceptor/state.go
+++ b/internal/proxy/acceptor/state.go
@@ -23,9 +23,9 @@
 	ended bool
 }
 
-// past is a deadline that has passed. It interrupts a read that waits for data, but takes
-// nothing away from one that has received some.
-var past = time.Unix(1, 0)
+// retireDelay is how long a retired connection is still read. A passed deadline would make the
+// read fail although a request has arrived that the process had no time to read.
+const retireDelay = 10 * time.Millisecond
 
 // deadline returns the end of a timeout that begins at start; the zero time, which is no
 // deadline, if the timeout is not positive.
@@ -36,7 +36,8 @@
 	return start.Add(timeout)
 }
 
-// retire makes the wait for the next request time out once the connection is idle.
+// retire makes the wait for the next request time out once the connection is idle. A read that
+// has received data returns it, whatever the deadline.
 func (s *state) retire(conn net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -68,7 +69,7 @@
 		_ = conn.SetReadDeadline(s.lastResponse.Add(lingerTime))
 		return
 	}
-	_ = conn.SetReadDeadline(past)
+	_ = conn.SetReadDeadline(time.Now().Add(retireDelay))
 }
 
 // expired reports whether a wait that has timed out was the last one.
