reader: the address of a node with an IPv6 address has brackets

What an operator would see: a node with an IPv6 address that no other node reaches, since its address is IP:port without brackets, which can't be dialled, and a node that takes its own entry among the seeds for another one if the address is written in another form.

Before: go test ./internal/settings/reader reader_test.go Line 82: Expected: "[2001:db8::1]:7000" Actual: "2001:DB8::1:7000" After: ok, with internal/proxy/..., platform/... and standin/...

--- a/internal/settings/reader/reader.go
+++ b/internal/settings/reader/reader.go
@@ -3,6 +3,7 @@
 package reader
 
 import (
+	"net"
 	"net/netip"
 	"os"
 	"strconv"
@@ -139,17 +140,25 @@
 // nodes. Seeds that are not IP:port are left out.
 func (s *Settings) SeedAddresses() []string {
 	var addresses []string
+	own := s.PeerAddress()
 	for _, seed := range s.Seeds {
 		parsed, err := netip.ParseAddrPort(seed)
-		if err == nil && parsed.Addr().String() != s.Node.IP {
-			addresses = append(addresses, peerAddress(parsed.Addr().String(), s.Listen.Ports[0]))
+		if err != nil {
+			continue
+		}
+		if address := peerAddress(parsed.Addr().String(), s.Listen.Ports[0]); address != own {
+			addresses = append(addresses, address)
 		}
 	}
 	return addresses
 }
 
+// peerAddress returns an address in its canonical form, since nodes compare addresses as text.
 func peerAddress(ip string, port int) string {
-	return ip + ":" + strconv.Itoa(port)
+	if parsed, err := netip.ParseAddr(ip); err == nil {
+		ip = parsed.String()
+	}
+	return net.JoinHostPort(ip, strconv.Itoa(port))
 }
 
 func checkBounds(c *collector.Collector, b Bounds) {
--- a/internal/settings/reader/reader_test.go
+++ b/internal/settings/reader/reader_test.go
@@ -71,3 +71,15 @@
 		So(err.Error(), ShouldContainSubstring, "node.linkRate")
 	})
 }
+
+// An address without brackets can't be dialled, so that no other node would reach this one.
+func TestAddressOfIPv6NodeHasBrackets(t *testing.T) {
+	Convey("The addresses derived from IPv6 addresses", t, func() {
+		s, err := Parse("f", []byte(strings.NewReplacer(
+			`ip: "10.0.0.1"`, `ip: "2001:DB8::1"`, `"10.0.0.2:3"`, `"[2001:db8::2]:3"`, `["10.0.0.1:3"`, `["[2001:db8::1]:3"`,
+		).Replace(validSettings)))
+		So(err, ShouldBeNil)
+		So(s.PeerAddress(), ShouldEqual, "[2001:db8::1]:7000")
+		So(s.SeedAddresses(), ShouldResemble, []string{"[2001:db8::2]:7000"})
+	})
+}
