reader: NaN and ports above 65535 are findings

What an operator would see: a settings file with such a number is accepted, at a reload too. A link rate of NaN makes the nodes' order of the relays depend on the order of comparison, so that nodes of a zone disagree on them; a budget for retries of NaN allows none or any; a port that doesn't exist is noticed only when the node listens on it. Cause: NaN is not below 0, and the last port had no upper bound.

Before: go test ./internal/settings/reader reader_test.go Line 100: (the first case, repeatRatio: .nan) Expected '<nil>' to NOT be nil (but it was)! After: ok, with internal/proxy/..., platform/... and standin/...

--- a/internal/settings/reader/reader.go
+++ b/internal/settings/reader/reader.go
@@ -3,6 +3,7 @@
 package reader
 
 import (
+	"math"
 	"net"
 	"net/netip"
 	"os"
@@ -115,8 +116,8 @@
 	if _, err := netip.ParseAddr(s.Node.IP); err != nil {
 		c.Add("node.ip", "%q is not an IP address", s.Node.IP)
 	}
-	if s.Node.LinkRate < 0 {
-		c.Add("node.linkRate", "must not be negative")
+	if !isNonNegative(s.Node.LinkRate) {
+		c.Add("node.linkRate", "must be a number that is not negative")
 	}
 	c.Address("listen.callers", s.Listen.Callers)
 	c.Address("listen.readiness", s.Listen.Readiness)
@@ -125,12 +126,23 @@
 		c.Address("listen.metrics", s.Listen.Metrics)
 	}
 	c.Address("platform.address", s.Platform.Address)
-	if len(s.Listen.Ports) != 2 || s.Listen.Ports[0] <= 0 || s.Listen.Ports[1] < s.Listen.Ports[0] {
+	checkPorts(c, s.Listen.Ports)
+	checkBounds(c, s.Bounds)
+}
+
+func checkPorts(c *collector.Collector, ports []int) {
+	if len(ports) != 2 || ports[0] <= 0 || ports[1] < ports[0] {
 		c.Add("listen.ports", "must be the first and the last port, in this order")
+		return
+	}
+	if ports[1] > math.MaxUint16 {
+		c.Add("listen.ports", "%d is not a port", ports[1])
 	}
-	checkBounds(c, s.Bounds)
 }
 
+// isNonNegative is false for NaN too, which passes any comparison for being out of range.
+func isNonNegative(x float64) bool { return x >= 0 }
+
 // PeerAddress returns the address, IP:port, at which other nodes reach this node. Its port
 // is the first of Listen.Ports.
 func (s *Settings) PeerAddress() string { return peerAddress(s.Node.IP, s.Listen.Ports[0]) }
@@ -165,7 +177,7 @@
 	c.Range("bounds.drainTime", b.DrainTime.Std(), 100*time.Millisecond, time.Hour)
 	c.Range("bounds.grace", b.Grace.Std(), time.Second, time.Hour)
 	c.Range("bounds.repeatWindow", b.RetryWindow.Std(), time.Second, time.Hour)
-	if b.RetryRatio < 0 || b.RetrySlack < 0 {
-		c.Add("bounds.repeatRatio", "repeatRatio and repeatSlack must not be negative")
+	if !isNonNegative(b.RetryRatio) || !isNonNegative(b.RetrySlack) {
+		c.Add("bounds.repeatRatio", "repeatRatio and repeatSlack must be numbers that are not negative")
 	}
 }
--- a/internal/settings/reader/reader_test.go
+++ b/internal/settings/reader/reader_test.go
@@ -83,3 +83,21 @@
 		So(s.SeedAddresses(), ShouldResemble, []string{"[2001:db8::2]:7000"})
 	})
 }
+
+// Numbers that compare as neither too small nor too large pass a check of bounds, and a port
+// that doesn't exist is found only when the node listens.
+func TestNumbersOutOfRangeAreFindings(t *testing.T) {
+	cases := []struct{ key, valid, invalid string }{
+		{"bounds.repeatRatio", "repeatRatio: 0.2", "repeatRatio: .nan"},
+		{"bounds.repeatRatio", "repeatSlack: 56", "repeatSlack: .nan"},
+		{"node.linkRate", `availabilityZone: "z"`, `availabilityZone: "z", linkRate: .nan`},
+		{"listen.ports", "[7000,7015]", "[7000,65536]"},
+	}
+	Convey("Each is a finding", t, func() {
+		for _, c := range cases {
+			_, err := Parse("f", []byte(strings.Replace(validSettings, c.valid, c.invalid, 1)))
+			So(err, ShouldNotBeNil)
+			So(err.Error(), ShouldContainSubstring, c.key)
+		}
+	})
+}
