reporter: the counts of suppressed and dropped lines are not lost at Close

What an operator would see: a log that ends without saying that lines are missing. Causes: Close wrote no count of dropped lines; its counts of suppressed lines went through the buffer, which is full just when lines are missing, and were dropped; a count of dropped lines was taken and then dropped itself. Now Close writes the counts past the buffer, after the pending lines, and the count of dropped lines is taken only when a line fits. A count of suppressed lines of a second may still be dropped before Close; it is then one of the dropped lines.

--- a/internal/observe/reporter/reporter.go
+++ b/internal/observe/reporter/reporter.go
@@ -71,11 +71,8 @@
 // availability zone as fields. The caller must close the reporter.
 func New(node, zone string, output io.Writer) *Reporter {
 	writer := NewWriter(output)
-	logger := logrus.New()
-	logger.SetOutput(writer)
-	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
 	r := &Reporter{
-		log:           logger.WithFields(logrus.Fields{"node": node, "zone": zone}),
+		log:           newLog(writer, logrus.Fields{"node": node, "zone": zone}),
 		writer:        writer,
 		registry:      prometheus.NewRegistry(),
 		callLimiter:   newLimiter(callLinesPerSecond),
@@ -98,6 +95,14 @@
 	return r
 }
 
+// newLog returns a log to output whose lines have the given fields.
+func newLog(output io.Writer, fields logrus.Fields) *logrus.Entry {
+	logger := logrus.New()
+	logger.SetOutput(output)
+	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	return logger.WithFields(fields)
+}
+
 func gauge(name, help string) prometheus.Gauge {
 	return prometheus.NewGauge(prometheus.GaugeOpts{Name: name, Help: help})
 }
@@ -196,24 +201,24 @@
 	r.mu.Lock()
 	allowed, suppressed := l.allow(reason, time.Now())
 	r.mu.Unlock()
-	r.logSuppressed(event, suppressed)
-	if suppressed != nil {
-		r.logDropped()
+	logSuppressed(r.log, event, suppressed)
+	if suppressed != nil && r.writer.HasSpace() {
+		logDropped(r.log, r.writer.Dropped())
 	}
 	return allowed
 }
 
 // logSuppressed logs how many lines the rate limit suppressed, one line per reason.
-func (r *Reporter) logSuppressed(event string, suppressed map[string]int) {
+func logSuppressed(log *logrus.Entry, event string, suppressed map[string]int) {
 	for reason, count := range suppressed {
-		r.log.WithFields(logrus.Fields{"event": event, "reason": reason, "count": count}).Info("lines suppressed by the rate limit")
+		log.WithFields(logrus.Fields{"event": event, "reason": reason, "count": count}).Info("lines suppressed by the rate limit")
 	}
 }
 
 // logDropped logs how many lines the writer dropped because its buffer was full.
-func (r *Reporter) logDropped() {
-	if dropped := r.writer.Dropped(); dropped > 0 {
-		r.log.WithFields(logrus.Fields{"event": "linesDropped", "count": dropped}).Warn("log lines were dropped")
+func logDropped(log *logrus.Entry, dropped int64) {
+	if dropped > 0 {
+		log.WithFields(logrus.Fields{"event": "linesDropped", "count": dropped}).Warn("log lines were dropped")
 	}
 }
 
@@ -232,16 +237,19 @@
 	r.log.WithFields(logrus.Fields{"event": "stopped", "inFlight": inFlight}).Info("process stopped")
 }
 
-// Close logs the counts of suppressed lines, writes the pending lines and ends the writer.
-// Lines logged later are lost.
+// Close writes the pending lines, ends the writer and logs the counts of suppressed and dropped
+// lines. These are written past the writer's buffer, which may be full. Lines logged later are
+// lost.
 func (r *Reporter) Close() {
 	r.mu.Lock()
 	calls, members := r.callLimiter.suppressed, r.memberLimiter.suppressed
 	r.callLimiter.suppressed, r.memberLimiter.suppressed = map[string]int{}, map[string]int{}
 	r.mu.Unlock()
-	r.logSuppressed(callsSuppressedEvent, calls)
-	r.logSuppressed(membersSuppressedEvent, members)
 	r.writer.Close()
+	log := newLog(r.writer.output, r.log.Data)
+	logSuppressed(log, callsSuppressedEvent, calls)
+	logSuppressed(log, membersSuppressedEvent, members)
+	logDropped(log, r.writer.Dropped())
 }
 
 // Reloaded logs that the settings were read again. If err is not nil, they could not be
--- a/internal/observe/reporter/reporter_test.go
+++ b/internal/observe/reporter/reporter_test.go
@@ -121,3 +121,45 @@
 		})
 	})
 }
+
+// slowOutput is an output whose Write blocks until release is closed.
+type slowOutput struct {
+	blockedOutput
+	bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (o *slowOutput) Write(b []byte) (int, error) {
+	<-o.release
+	return o.Buffer.Write(b)
+}
+
+// What the log lacks must be seen in its last lines, also if they don't fit in the buffer.
+func TestCountsOfMissingLinesAreNotLostAtClose(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		output := &slowOutput{blockedOutput: blockedOutput{release: make(chan struct{})}}
+		r := New("n-1", "z", output)
+		r.StoreRegained()
+		synctest.Wait()
+		const lines = 2 * maxPendingLines
+		for range lines {
+			r.StoreRegained()
+		}
+		for range memberLinesPerSecond + 7 {
+			r.MemberFound(balancer.Member{Node: "n-2"}, "peer")
+		}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			r.Close()
+		}()
+		synctest.Wait()
+		close(output.release)
+		<-done
+		Convey("Suppressed and dropped lines are counted", t, func() {
+			So(strings.Contains(output.String(), `"count":7,"event":"membersSummed"`), ShouldBeTrue)
+			dropped := fmt.Sprintf(`"count":%d,"event":"linesDropped"`, lines+memberLinesPerSecond-maxPendingLines)
+			So(strings.Contains(output.String(), dropped), ShouldBeTrue)
+		})
+	})
+}
--- a/internal/observe/reporter/writer.go
+++ b/internal/observe/reporter/writer.go
@@ -73,6 +73,9 @@
 	return len(line), nil
 }
 
+// HasSpace reports whether another line fits in the buffer now.
+func (w *Writer) HasSpace() bool { return len(w.lines) < cap(w.lines) }
+
 // Dropped returns the number of lines dropped since the last call of Dropped.
 func (w *Writer) Dropped() int64 { return w.dropped.Swap(0) }
 
