reporter: lines about lost members and unusable input are rate-limited

What an operator would see: a log of thousands of lines a second. A node whose relay sends it a configuration that it can't decode asks again at once, with a line each time; entries of another writer have a line at each read; a zone that is lost has one for each member at each node. While the buffer is full, lines about calls are dropped. Cause: four events had no limit. Now memberLost has that of memberFound, and unusable, entryUnusable and reportRefused have 20 lines a second together; what is suppressed is counted, at Close too. That the node asks again at once is not mended here.

Before: go test -run LinesAboutInput ./internal/observe/reporter reporter_test.go Line 188: (one of the four events; the order varies) Expected '494' to be between '0' and '30' (but it wasn't)! After: ok, with internal/proxy/..., platform/... and standin/...

--- a/internal/observe/reporter/limiter.go
+++ b/internal/observe/reporter/limiter.go
@@ -26,7 +26,7 @@
 func (l *limiter) allow(group string, now time.Time) (allowed bool, counts map[string]int) {
 	if second := now.Unix(); second != l.second {
 		l.second, l.lines = second, 0
-		counts, l.suppressed = l.suppressed, map[string]int{}
+		counts = l.take()
 	}
 	l.lines++
 	if l.lines <= l.maxPerSecond {
@@ -35,3 +35,10 @@
 	l.suppressed[group]++
 	return false, counts
 }
+
+// take returns how many lines were suppressed, by group, and begins to count anew.
+func (l *limiter) take() map[string]int {
+	counts := l.suppressed
+	l.suppressed = map[string]int{}
+	return counts
+}
--- a/internal/observe/reporter/reporter.go
+++ b/internal/observe/reporter/reporter.go
@@ -1,7 +1,7 @@
 // Package reporter writes the log and the metrics of a proxy. The log has a JSON line for
 // each call that was not routine and for each change in the state of the node, its
-// members and its upstream. The metrics count all calls. Lines about calls and about new
-// or changed members are rate-limited, so that the log stays small under load.
+// members and its upstream. The metrics count all calls. Lines about calls, about members and
+// about unusable input are rate-limited, so that the log stays small under load.
 package reporter
 
 import (
@@ -25,17 +25,20 @@
 	"github.com/tamarackscale/tamarackscale/internal/proxy/tracker"
 )
 
-// callLinesPerSecond and memberLinesPerSecond are the maximum rates of lines about calls
-// and about new or changed members.
+// callLinesPerSecond, memberLinesPerSecond and inputLinesPerSecond are the maximum rates of lines
+// about calls, about new, changed or lost members, and about unusable configurations, entries and
+// heartbeats.
 const (
 	callLinesPerSecond   = 60
 	memberLinesPerSecond = 20
+	inputLinesPerSecond  = 20
 )
 
 // The events of lines that count the lines suppressed by a rate limit.
 const (
 	callsSuppressedEvent   = "callsSummed"
 	membersSuppressedEvent = "membersSummed"
+	inputsSuppressedEvent  = "inputsSummed"
 )
 
 // Reporter implements the observers of a proxy's components. It is safe for concurrent
@@ -62,6 +65,7 @@
 	mu            sync.Mutex
 	callLimiter   *limiter
 	memberLimiter *limiter
+	inputLimiter  *limiter
 }
 
 // latencyBuckets are in seconds.
@@ -77,6 +81,7 @@
 		registry:      prometheus.NewRegistry(),
 		callLimiter:   newLimiter(callLinesPerSecond),
 		memberLimiter: newLimiter(memberLinesPerSecond),
+		inputLimiter:  newLimiter(inputLinesPerSecond),
 	}
 	r.callTime = histogram("tamarackscale_call_seconds", "Whole time of a call.", "service", "rank", "outcome")
 	r.upstreamTime = histogram("tamarackscale_upstream_seconds", "Time of a hand-over at the upstream.", "service")
@@ -242,13 +247,13 @@
 // lost.
 func (r *Reporter) Close() {
 	r.mu.Lock()
-	calls, members := r.callLimiter.suppressed, r.memberLimiter.suppressed
-	r.callLimiter.suppressed, r.memberLimiter.suppressed = map[string]int{}, map[string]int{}
+	calls, members, inputs := r.callLimiter.take(), r.memberLimiter.take(), r.inputLimiter.take()
 	r.mu.Unlock()
 	r.writer.Close()
 	log := newLog(r.writer.output, r.log.Data)
 	logSuppressed(log, callsSuppressedEvent, calls)
 	logSuppressed(log, membersSuppressedEvent, members)
+	logSuppressed(log, inputsSuppressedEvent, inputs)
 	logDropped(log, r.writer.Dropped())
 }
 
@@ -290,8 +295,11 @@
 }
 
 // Unusable implements subscriber.Observer. It logs a configuration that could not be
-// encoded or decoded.
+// encoded or decoded, subject to the rate limit of input.
 func (r *Reporter) Unusable(source string, err error) {
+	if !r.allow(r.inputLimiter, inputsSuppressedEvent, source) {
+		return
+	}
 	r.log.WithFields(logrus.Fields{"event": "unusable", "source": source}).WithError(err).Error("configuration is unusable")
 }
 
@@ -347,14 +355,22 @@
 	}).Info("member is new or has changed")
 }
 
-// MemberLost implements finder.Observer. It logs the removal of a member.
+// MemberLost implements finder.Observer. It logs the removal of a member, subject to the rate
+// limit.
 func (r *Reporter) MemberLost(m balancer.Member) {
+	if !r.allow(r.memberLimiter, membersSuppressedEvent, "lost") {
+		return
+	}
 	r.log.WithFields(logrus.Fields{"event": "memberLost", "member": m.Node}).Info("unresponsive or replaced member removed")
 }
 
 // EntryUnusable implements finder.Observer. It logs the key of a store entry that does not
-// describe a member; err is nil if the entry could be decoded but lacks a field.
+// describe a member; err is nil if the entry could be decoded but lacks a field. It is subject
+// to the rate limit of input.
 func (r *Reporter) EntryUnusable(key string, err error) {
+	if !r.allow(r.inputLimiter, inputsSuppressedEvent, "entry") {
+		return
+	}
 	r.log.WithFields(logrus.Fields{"event": "entryUnusable", "key": key}).WithError(err).Warn("store entry does not describe a member")
 }
 
@@ -370,7 +386,10 @@
 }
 
 // HeartbeatRejected logs that a heartbeat or a deregistration of the local upstream was
-// rejected.
+// rejected, subject to the rate limit of input.
 func (r *Reporter) HeartbeatRejected(err error) {
+	if !r.allow(r.inputLimiter, inputsSuppressedEvent, "heartbeat") {
+		return
+	}
 	r.log.WithField("event", "reportRefused").WithError(err).Warn("heartbeat or deregistration rejected")
 }
--- a/internal/observe/reporter/reporter_test.go
+++ b/internal/observe/reporter/reporter_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -163,3 +164,30 @@
 		})
 	})
 }
+
+// Bad input from elsewhere and the loss of many members must not fill the log.
+func TestLinesAboutInputAreRateLimited(t *testing.T) {
+	const lines = 1000
+	err := errors.New("unusable")
+	cases := map[string]func(r *Reporter){
+		"memberLost":    func(r *Reporter) { r.MemberLost(balancer.Member{Node: "n-2"}) },
+		"entryUnusable": func(r *Reporter) { r.EntryUnusable("key", err) },
+		"unusable":      func(r *Reporter) { r.Unusable("relay", err) },
+		"reportRefused": func(r *Reporter) { r.HeartbeatRejected(err) },
+	}
+	for event, log := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			var output bytes.Buffer
+			r := New("n-1", "z", &output)
+			for range lines {
+				log(r)
+			}
+			r.Close()
+			Convey(event+" is logged some times and counted beyond", t, func() {
+				logged := strings.Count(output.String(), `"event":"`+event+`"`)
+				So(logged, ShouldBeBetween, 0, 30)
+				So(strings.Contains(output.String(), fmt.Sprintf(`"count":%d,`, lines-logged)), ShouldBeTrue)
+			})
+		})
+	}
+}
