--- a/internal/proxy/router/splitter.go
+++ b/internal/proxy/router/splitter.go
@@ -3,8 +3,8 @@
 // splitter selects backends by smooth weighted round-robin: each selection adds
 // every weight to the current weight of its backend, then picks the backend with the
 // largest current weight and subtracts the total weight from it. After any number of
-// calls no backend is ahead of its exact proportion by a whole call; with two backends
-// none is behind by one either.
+// calls no backend is ahead of its exact proportion by a whole call; since the current weights
+// add up to 0, none is behind by as many calls as there are other backends.
 type splitter struct {
 	backends       []Backend
 	currentWeights []int
