recognizer: the key of a call says why the caller is no part of it

That is allowed: a caller sends a refused call again under a new ID and on a new connection, and no header field names it, so there is nothing to put into the key. Two calls with the same method, host and target may swap the times of their first requests; each refusal is recognised once, so no more calls count as waiting than were refused. What remains: a caller that gives up leaves its time to the next call with the same key within 3 s. Comment only.

--- a/internal/proxy/recognizer/recognizer.go
+++ b/internal/proxy/recognizer/recognizer.go
@@ -17,7 +17,9 @@
 )
 
 // Key identifies a call across the requests that a caller makes for it. The request ID is
-// no part of it, since a caller sends a new one with each request.
+// no part of it, since a caller sends a new one with each request. Nor is the caller, which
+// nothing in a request identifies: of calls that have the same key, any may take the time of
+// a refused one, but no more of them than were refused.
 type Key struct {
 	Method string
 	Host   string
