meter: the help text of added time says what is left out

tamarackscale_added_seconds is the time of a call less the time in the queue and at the upstream, as the field's comment and its only use have it (router: total - excluded); the help text left the queue out. From the list of what looked wrong in the code.

--- a/internal/observe/meter/meter.go
+++ b/internal/observe/meter/meter.go
@@ -51,7 +51,7 @@
 	m := &Meter{registry: prometheus.NewRegistry()}
 	m.CallTime = histogram("service_seconds", "Whole time of a call.", "tenant", "rank", "outcome")
 	m.QueueTime = histogram("queue_seconds", "Wait for a slot.", "rank")
-	m.AddedTime = histogram("added_seconds", "Time of a call less that of its upstream.", "tenant", "rank")
+	m.AddedTime = histogram("added_seconds", "Time of a call less the time in the queue and at its upstream.", "tenant", "rank")
 	m.Refusals = counter("refusals_total", "Refused calls.", "rank", "code")
 	m.Retries = counter("retries_total", "Attempts after the first.", "rank")
 	m.ControlBytes = counter("control_bytes_total", "Control traffic in bytes.", "direction", "scope")
