assembler: a drain is recovered also if a heartbeat comes before the other nodes are known

What callers would see: calls at an upstream whose drain was acknowledged, seconds after its drain time. Cause: a new process queries others for a drain of its former one at the first heartbeat, but at that moment it often knows no other node yet (the store is read at the same time, and settings usually name no seeds). Nobody was asked, and the second heartbeat did not ask again. If the store is out of reach at the start, the same for longer.

A heartbeat now waits for the discovery, 0.5 s at most (it must be acknowledged within 1 s), and each heartbeat queries until another node has replied once. That costs three messages for the first heartbeat of a process, as before. Not covered: a process that reaches neither the store nor another node at its first heartbeats takes the upstream as ready until it does.

--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -77,6 +77,8 @@
 	known        chan struct{}
 	knownOnce    sync.Once
 	drainRecords *drainRecords
+	// drainQueried is set once another node has replied to a query for a former drain.
+	drainQueried atomic.Bool
 }
 
 // New builds a proxy; Start runs it. It returns an error if the RPC methods for other
--- a/internal/proxy/assembler/directory.go
+++ b/internal/proxy/assembler/directory.go
@@ -157,7 +157,7 @@
 			return errors.Newf("heartbeat of instance %q: service %q is unknown in configuration version %d", r.Instance, r.Service, t.Version)
 		}
 	}
-	if p.executor.Upstream().State == tracker.Absent {
+	if !p.drainQueried.Load() || p.executor.Upstream().State == tracker.Absent {
 		p.recoverDrain(tracker.Incarnation{Instance: r.Instance, Born: r.Born})
 	}
 	verdict := p.executor.Heartbeat(r, time.Now())
--- a/internal/proxy/assembler/drains.go
+++ b/internal/proxy/assembler/drains.go
@@ -15,6 +15,9 @@
 	drainReplicas = 3
 	// drainReplicaTimeout bounds the calls to these nodes, all together.
 	drainReplicaTimeout = 150 * time.Millisecond
+	// discoveryWait bounds how long the first heartbeats wait for the node to discover the
+	// others. It is below the second within which a heartbeat has to be acknowledged.
+	discoveryWait = 500 * time.Millisecond
 	// drainRecordTTL is how long the record of a drain is kept for other nodes after it was
 	// received last.
 	drainRecordTTL = time.Minute
@@ -73,10 +76,16 @@
 // recoverDrain queries other nodes for a drain of the upstream that the former process
 // of this node acknowledged, and applies it.
 func (p *Proxy) recoverDrain(incarnation tracker.Incarnation) {
+	select {
+	case <-p.finder.Discovered():
+	case <-time.After(discoveryWait):
+	}
 	args := forwarder.DrainStartArgs{Instance: incarnation.Instance, Born: incarnation.Born}
-	for _, since := range callDrainReplicas(p, func(ctx context.Context, address string) (int64, error) {
+	replies := callDrainReplicas(p, func(ctx context.Context, address string) (int64, error) {
 		return p.forwarder.QueryDrainStart(ctx, address, args)
-	}) {
+	})
+	p.drainQueried.Store(p.drainQueried.Load() || len(replies) > 0)
+	for _, since := range replies {
 		if since != 0 {
 			p.executor.MarkDraining(incarnation, time.UnixMilli(since), time.Now())
 			return
