assembler: a recovered drain is over whatever the clock says

What callers would see: calls at an upstream seconds after its acknowledged drain, failing once it has gone: where its node restarted and the VM's clock was set back by 5 s in between, up to 5 s longer than the 1.2 s in which a draining upstream is the last resort. Also if the clock is set back only after the recovery, since the recovered time had no reading of the steady clock.

Cause: the start of a drain comes back from other nodes in Unix milliseconds of the former process's clock, and was compared with the present one.

The drain time of a recovered drain now counts as over. A new process usually learns of the drain later than 1.2 s after it began anyway (a restart, then the next heartbeat); before that, its upstream is no last resort for at most 1.2 s. The recorded start only says that there is a drain.

--- a/internal/proxy/assembler/drains.go
+++ b/internal/proxy/assembler/drains.go
@@ -74,7 +74,8 @@
 }
 
 // recoverDrain queries other nodes for a drain of the upstream that the former process
-// of this node acknowledged, and applies it.
+// of this node acknowledged, and applies it. The drain time counts as over: the clock may have
+// been set back since, so that its start does not tell how much is left.
 func (p *Proxy) recoverDrain(incarnation tracker.Incarnation) {
 	select {
 	case <-p.finder.Discovered():
@@ -87,7 +88,8 @@
 	p.drainQueried.Store(p.drainQueried.Load() || len(replies) > 0)
 	for _, since := range replies {
 		if since != 0 {
-			p.executor.MarkDraining(incarnation, time.UnixMilli(since), time.Now())
+			now := time.Now()
+			p.executor.MarkDraining(incarnation, now.Add(-p.bounds.DrainTime.Std()), now)
 			return
 		}
 	}
