assembler: tests of versions acknowledged just before nodes are lost

By reading, a version that the store has acknowledged is in force after all processes were killed or all VMs lost power: a new process has none, its peers neither, and the read of the store is not a stale one. The tests check it: processes killed, or cut off and then ended, 0 to 1 s after the write; every node has version 5 within 2 s of the start, and none before. And a zone of six nodes whose relays (and another) go dark 0 to 10 ms after the write has it within 2 s.

--- a/internal/proxy/assembler/outage_test.go
+++ b/internal/proxy/assembler/outage_test.go
@@ -57,3 +57,66 @@
 		})
 	}
 }
+
+// All processes are killed, or all VMs lose power, just after a version was acknowledged. The
+// next processes must serve that version and never the one before.
+func TestAcknowledgedVersionIsServedAfterLossOfAllNodes(t *testing.T) {
+	for _, powerOff := range []bool{false, true} {
+		for _, after := range []time.Duration{0, 10 * time.Millisecond, 300 * time.Millisecond, time.Second} {
+			t.Run(fmt.Sprintf("power off: %v, after %v", powerOff, after), func(t *testing.T) {
+				inMesh(t, []string{"x", "y"}, func(m *mesh.Mesh) {
+					configure(m, 5, moved()...)
+					time.Sleep(after)
+					if powerOff {
+						m.Network.Cut(func(from, to string) bool { return from != to })
+						time.Sleep(500 * time.Millisecond)
+					}
+					for _, n := range m.Nodes {
+						n.Kill()
+					}
+					time.Sleep(time.Second)
+					m.Network.Cut(nil)
+					for _, n := range m.Nodes {
+						So(n.Start(), ShouldBeNil)
+					}
+					for start := time.Now(); time.Since(start) < propagationTime; time.Sleep(10 * time.Millisecond) {
+						for _, n := range m.Nodes {
+							So(n.Proxy.Version(), ShouldBeIn, int64(0), int64(5))
+						}
+					}
+					for i, n := range m.Nodes {
+						So(n.Ready(), ShouldBeTrue)
+						id := fmt.Sprintf("after-%d", i)
+						So(n.Call(http.MethodGet, host, readPrefix, id, time.Second).Status, ShouldEqual, http.StatusOK)
+						So(nodeThatRan(m, id).Upstream.Service, ShouldEqual, "b")
+					}
+				})
+			})
+		}
+	}
+}
+
+// The relays of a zone end without a word just after a version was acknowledged. The other
+// nodes must serve it in time nevertheless.
+func TestVersionReachesZoneWhoseRelaysAreLostAtOnce(t *testing.T) {
+	cases := map[string]int{"first relay": 1, "both relays": 2, "both relays and another node": 3}
+	for name, lost := range cases {
+		for _, after := range []time.Duration{0, 3 * time.Millisecond, 10 * time.Millisecond} {
+			t.Run(fmt.Sprintf("%s, after %v", name, after), func(t *testing.T) {
+				inMesh(t, []string{"x", "x", "x"}, func(m *mesh.Mesh) {
+					dark := map[string]bool{}
+					for _, n := range m.Nodes[:lost] {
+						dark[n.Name] = true
+					}
+					configure(m, 5, moved()...)
+					time.Sleep(after)
+					m.Network.Cut(func(from, to string) bool { return from != to && (dark[from] || dark[to]) })
+					time.Sleep(propagationTime)
+					for _, n := range m.Nodes[lost:] {
+						So(n.Proxy.Version(), ShouldEqual, 5)
+					}
+				})
+			})
+		}
+	}
+}
