finder, assembler: a new process takes the drain from its former one's entry

What callers would see: after all processes were killed or all VMs lost power, calls at an upstream whose drain was acknowledged before. The entry in the store says that it drains, but a new process ignored its own entry and asked only other nodes; those that had not started yet, or not read the entry before the new process wrote it again without the drain, did not know.

The directory now gets the records of the node's former processes too, from entries and seeds. It keeps only their drain, as it does for other nodes, and looks there first. Own records were never taken from elsewhere and still are not.

--- a/internal/proxy/assembler/directory.go
+++ b/internal/proxy/assembler/directory.go
@@ -33,12 +33,14 @@
 	return m
 }
 
-// UpdateMember updates the record of a member and reports whether it changed. The record
-// of a former node at this node's address is not stored. If the record has a drain start,
-// that is also kept in the drain records, so that the member's next process can query it.
+// UpdateMember updates the record of a member and reports whether it changed. The records
+// of this node's former processes and of a former node at its address are not stored. If the
+// record has a drain start, that is always kept in the drain records, so that the member's next
+// process can query it.
 func (p *Proxy) UpdateMember(m balancer.Member) bool {
 	updated := false
-	if s := p.settings.Load(); m.Node == s.Node.ID || m.Address != s.PeerAddress() {
+	s := p.settings.Load()
+	if own := m.Node == s.Node.ID; (own && m.Start == p.incarnation) || (!own && m.Address != s.PeerAddress()) {
 		p.dispatcher.WithBalancer(func(b *balancer.Balancer) { updated = b.Update(m) })
 	}
 	if m.DrainStart != 0 {
--- a/internal/proxy/assembler/drains.go
+++ b/internal/proxy/assembler/drains.go
@@ -73,14 +73,17 @@
 	return p.drainRecords.lookup(tracker.Incarnation{Instance: instance, Born: born})
 }
 
-// recoverDrain queries other nodes for a drain of the upstream that the former process
-// of this node acknowledged, and applies it. The drain time counts as over: the clock may have
-// been set back since, so that its start does not tell how much is left.
+// recoverDrain looks for a drain of the upstream that the former process of this node
+// acknowledged, in that process's entry in the store and at other nodes, and applies it.
 func (p *Proxy) recoverDrain(incarnation tracker.Incarnation) {
 	select {
 	case <-p.finder.Discovered():
 	case <-time.After(discoveryWait):
 	}
+	if p.drainRecords.lookup(incarnation) != 0 {
+		p.applyFormerDrain(incarnation)
+		return
+	}
 	args := forwarder.DrainStartArgs{Instance: incarnation.Instance, Born: incarnation.Born}
 	replies := callDrainReplicas(p, func(ctx context.Context, address string) (int64, error) {
 		return p.forwarder.QueryDrainStart(ctx, address, args)
@@ -88,13 +91,19 @@
 	p.drainQueried.Store(p.drainQueried.Load() || len(replies) > 0)
 	for _, since := range replies {
 		if since != 0 {
-			now := time.Now()
-			p.executor.MarkDraining(incarnation, now.Add(-p.bounds.DrainTime.Std()), now)
+			p.applyFormerDrain(incarnation)
 			return
 		}
 	}
 }
 
+// applyFormerDrain marks an incarnation as draining. Its drain time counts as over: the clock
+// may have been set back since, so that the recorded start does not tell how much is left.
+func (p *Proxy) applyFormerDrain(incarnation tracker.Incarnation) {
+	now := time.Now()
+	p.executor.MarkDraining(incarnation, now.Add(-p.bounds.DrainTime.Std()), now)
+}
+
 // replicateDrain sends this node's member record, which holds the drain of its upstream,
 // to other nodes. The drain is acknowledged to the upstream afterwards, even if none of
 // them replied.
--- a/internal/proxy/assembler/outage_test.go
+++ b/internal/proxy/assembler/outage_test.go
@@ -120,3 +120,45 @@
 		}
 	}
 }
+
+// All processes are killed after a drain was acknowledged. A heartbeat from before it that
+// arrives at the next process must not make the upstream take calls again.
+func TestDrainSurvivesLossOfAllNodes(t *testing.T) {
+	cases := []struct {
+		// killed is when the processes are killed, after the acknowledgement, and behind how much
+		// later than the draining upstream's node the others start again.
+		killed, behind time.Duration
+	}{
+		{time.Second, 0},
+		{time.Second, 3 * time.Second},
+	}
+	for _, c := range cases {
+		t.Run(fmt.Sprintf("killed after %v, others start %v later", c.killed, c.behind), func(t *testing.T) {
+			inMesh(t, []string{"x", "y"}, func(m *mesh.Mesh) {
+				draining := nodesOf(m, "a")[0]
+				u := draining.Upstream
+				So(u.Deregister(context.Background()), ShouldEqual, http.StatusOK)
+				time.Sleep(c.killed)
+				for _, n := range m.Nodes {
+					n.Kill()
+				}
+				time.Sleep(time.Second)
+				So(draining.Start(), ShouldBeNil)
+				time.Sleep(c.behind)
+				for _, n := range m.Nodes {
+					if n != draining {
+						So(n.Start(), ShouldBeNil)
+					}
+				}
+				time.Sleep(1500 * time.Millisecond)
+				So(u.Heartbeat(context.Background()), ShouldEqual, http.StatusOK)
+				for i := range 40 {
+					n := m.Nodes[i%len(m.Nodes)]
+					So(n.Call(http.MethodGet, host, readPrefix, fmt.Sprintf("o-%d", i), time.Second).Status, ShouldEqual, http.StatusOK)
+					time.Sleep(50 * time.Millisecond)
+				}
+				So(u.Total(), ShouldEqual, 0)
+			})
+		})
+	}
+}
--- a/internal/proxy/finder/finder.go
+++ b/internal/proxy/finder/finder.go
@@ -52,7 +52,7 @@
 	// Self returns the node's own record.
 	Self() balancer.Member
 	// UpdateMember merges the record of a member and reports whether it was newer than the
-	// known one.
+	// known one. The record of a former process of the node itself is never newer.
 	UpdateMember(m balancer.Member) bool
 	// Members returns the records of the known members. It may include the node's own.
 	Members() []balancer.Member
@@ -351,7 +351,7 @@
 }
 
 func (f *Finder) updateMember(m balancer.Member, source string) {
-	if m.Node == f.config.Directory.Self().Node {
+	if own := f.config.Directory.Self(); m.Node == own.Node && m.Start == own.Start {
 		return
 	}
 	if f.config.Directory.UpdateMember(m) {
