dispatcher: a call of a stopping node ends within the grace time

What callers would see: their connection ends without an answer, at the end of the grace time of their node, if their call has a longer timeout and waits in another node's queue, or if it is a call that an upstream makes for another one, late in the stop.

Cause: calls that a node accepts while it stops kept their own timeout. The process ends before, whatever has become of the call.

Their time now ends 250 ms before the grace time does. The upstream and its queue are told the shorter time, so the queue sheds the call in time, or the upstream answers at its end, and the caller gets that answer. Calls that were accepted before the stop keep their timeout, and an upstream that exceeds the time it was told is cut as before.

--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -73,6 +73,8 @@
 	// other nodes.
 	stopping atomic.Bool
 	draining atomic.Bool
+	// stopStart is when Stop began; nil before.
+	stopStart atomic.Pointer[time.Time]
 	// discovered is set once the finder has read the other nodes' entries or failed to.
 	discovered atomic.Bool
 	// known is closed after the first accepted heartbeat of the upstream.
@@ -110,7 +112,7 @@
 	p.dispatcher = dispatcher.New(dispatcher.Config{
 		Node: s.Node.ID, Service: func() string { return p.settings.Load().Upstream.Service },
 		Table: p.subscriber.Table, Forward: p.forwarder, Execute: p.executor, Observe: p.telemetry,
-		Balancer: balancer.New(s.Node.AvailabilityZone),
+		Balancer: balancer.New(s.Node.AvailabilityZone), End: p.callsEnd,
 		Budget: retrier.Budget{
 			Ratio: p.bounds.RetryRatio, Slack: p.bounds.RetrySlack, Window: p.bounds.RetryWindow.Std(),
 		},
--- a/internal/proxy/assembler/stop_test.go
+++ b/internal/proxy/assembler/stop_test.go
@@ -170,3 +170,27 @@
 		So(near.Upstream.Deregister(context.Background()), ShouldEqual, http.StatusOK)
 	})
 }
+
+// A call has more time left than the node that stops. Its upstream must be told the shorter
+// time, so that its answer can still be passed on.
+func TestCallOfStoppingNodeIsAnsweredWithinGraceTime(t *testing.T) {
+	inMesh(t, []string{"x"}, func(m *mesh.Mesh) {
+		near, far := nodesOf(m, "a")[0], nodesOf(m, "b")[0]
+		far.Upstream.SetBehaviour(0, func(w http.ResponseWriter, r *http.Request) bool {
+			timeout, err := time.ParseDuration(r.Header.Get("X-Timeout-Ms") + "ms")
+			if err != nil {
+				return false
+			}
+			time.Sleep(timeout)
+			w.Header().Set("X-Server-Stamp", "late")
+			w.WriteHeader(http.StatusGatewayTimeout)
+			return true
+		})
+		go near.Proxy.Stop("test")
+		time.Sleep(2 * time.Second)
+		a := near.Call(http.MethodPost, host, orderPrefix, "long", 5*time.Second)
+		So(a.Err, ShouldBeNil)
+		So(a.Status, ShouldEqual, http.StatusGatewayTimeout)
+		So(a.Header.Get("X-Server-Stamp"), ShouldEqual, "late")
+	})
+}
--- a/internal/proxy/assembler/stopper.go
+++ b/internal/proxy/assembler/stopper.go
@@ -17,6 +17,9 @@
 	// exitMargin is the time at the end of the grace period that is reserved for the exit
 	// of the process.
 	exitMargin = 150 * time.Millisecond
+	// callMargin is the time before exitMargin in which no call runs any more, so that the
+	// answer that its upstream sends at the call's deadline is written.
+	callMargin = 100 * time.Millisecond
 	// idleWindow is how long nothing must have been in flight before the node ends.
 	idleWindow = 200 * time.Millisecond
 	// idlePollInterval is the interval between checks for calls in flight.
@@ -31,6 +34,7 @@
 // grace period ends.
 func (p *Proxy) Stop(reason string) {
 	start := time.Now()
+	p.stopStart.Store(&start)
 	p.telemetry.Stopping(reason)
 	p.stopping.Store(true)
 	time.Sleep(announceDelay)
@@ -41,7 +45,7 @@
 	time.Sleep(refuseCallersDelay - refuseForwardedDelay)
 	p.acceptor.Stop()
 	p.acceptor.CloseIdle()
-	deadline := start.Add(p.bounds.Grace.Std() - exitMargin)
+	deadline := p.stopDeadline(start)
 	awaitIdle(deadline, idleWindow, p.busy)
 	// What was accepted since the last look is completed too; nothing new is accepted.
 	p.closeListeners()
@@ -54,6 +58,21 @@
 	p.Close()
 }
 
+// stopDeadline is when a stop that began at start closes what is still in flight.
+func (p *Proxy) stopDeadline(start time.Time) time.Time {
+	return start.Add(p.bounds.Grace.Std() - exitMargin)
+}
+
+// callsEnd returns the time by which calls that are accepted now must have ended; zero while
+// the node is not stopping.
+func (p *Proxy) callsEnd() time.Time {
+	start := p.stopStart.Load()
+	if start == nil {
+		return time.Time{}
+	}
+	return p.stopDeadline(*start).Add(-callMargin)
+}
+
 // acknowledgeControl waits until the control calls of the upstream that have arrived are
 // answered, at most until the deadline.
 func (p *Proxy) acknowledgeControl(deadline time.Time) {
--- a/internal/proxy/dispatcher/dispatcher.go
+++ b/internal/proxy/dispatcher/dispatcher.go
@@ -112,6 +112,9 @@
 	Observe  Observer
 	Balancer *balancer.Balancer
 	Budget   retrier.Budget
+	// End returns the time by which calls must have ended; zero if there is none. Nil
+	// means that there never is.
+	End func() time.Time
 }
 
 // Dispatcher dispatches calls to upstreams. It implements acceptor.Handler and is safe
@@ -167,7 +170,10 @@
 	}
 	event.Route, event.Service, event.Rank = match.Name, match.Service, match.Rank
 	d.recordDemand(event, parent, match.Objective, received)
-	timeout := timeoutOf(call, match)
+	timeout := d.untilEnd(timeoutOf(call, match), received)
+	if timeout <= 0 {
+		return d.respond(event, carrier.Refuse(carrier.Stopping), received, defaultTimeout)
+	}
 	ctx, cancel := context.WithDeadline(ctx, received.Add(timeout+answerMargin))
 	defer cancel()
 	event.Waited = d.sinceFirstRequest(call, received)
@@ -217,6 +223,19 @@
 	return timeout
 }
 
+// untilEnd caps the timeout of a call so that it ends before the node does. Its upstream is
+// told the shorter time, and its answer at that time still reaches the caller.
+func (d *Dispatcher) untilEnd(timeout time.Duration, received time.Time) time.Duration {
+	if d.End == nil {
+		return timeout
+	}
+	end := d.End()
+	if end.IsZero() {
+		return timeout
+	}
+	return min(timeout, end.Sub(received))
+}
+
 // respond notifies the observer of the end of a call and returns the caller's response.
 // The remaining time is what is left until the call's deadline.
 func (d *Dispatcher) respond(e Event, r carrier.Result, received time.Time, remaining time.Duration) acceptor.Response {
