known red: a stall longer than the delay of a retired connection loses what has arrived

A deadline that another goroutine sets to 10 ms from now passes during a stall of the process, and the read then fails without looking. The wait for a request could look once more when it has timed out on a retired connection: under a deadline that the reading goroutine sets itself, just before that read.

--- a/internal/proxy/acceptor/edge_test.go
+++ b/internal/proxy/acceptor/edge_test.go
@@ -117,3 +117,45 @@
 		So(response.StatusCode, ShouldEqual, http.StatusServiceUnavailable)
 	})
 }
+
+// stalledConn delays the beginning of each read once it is stalled.
+type stalledConn struct {
+	net.Conn
+	stalled *atomic.Bool
+}
+
+func (s stalledConn) Read(b []byte) (int, error) {
+	if s.stalled.Load() {
+		time.Sleep(100 * time.Millisecond)
+	}
+	return s.Conn.Read(b)
+}
+
+// The process gets no processor time between setting the deadline of a read and the read itself,
+// for longer than a retired connection is read. The request that has arrived by then must get its
+// refusal all the same.
+func TestStopAnswersRequestThatArrivedBeforeStalledRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("a connection", t, func() {
+			near, far := net.Pipe()
+			l := singleListener{conns: make(chan net.Conn, 1)}
+			stalled := &atomic.Bool{}
+			l.conns <- stalledConn{far, stalled}
+			close(l.conns)
+			a := acceptor.New(platform.HTTP{}, slowHandler{}, silent{})
+			stalled.Store(true)
+			go a.Serve(l)
+			c := &caller{Conn: near, reader: bufio.NewReader(near)}
+			go func() { _, _ = io.WriteString(c, "GET /one HTTP/1.1\r\nHost: h\r\n\r\n") }()
+			time.Sleep(60 * time.Millisecond)
+			a.Stop()
+			a.CloseIdle()
+			response, _, err := c.receive()
+			So(near.Close(), ShouldBeNil)
+			a.Close()
+			time.Sleep(time.Minute)
+			So(err, ShouldBeNil)
+			So(response.StatusCode, ShouldEqual, http.StatusServiceUnavailable)
+		})
+	})
+}
