forwarder: a write that the peer does not take ends, and with it the connection

What callers would see: no answer, long after their deadline, to a call whose message does not fit into the buffers on the way to a node that has stopped reading or was cut off, and to all calls behind it: rpc.Client.Go writes the message before it returns, and looks at neither the context nor the silence of the peer.

TestBlockedWriteEndsTheConnection before: 'panic: deadlock: all goroutines in bubble are blocked'.

--- a/internal/proxy/forwarder/peer.go
+++ b/internal/proxy/forwarder/peer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/rpc"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,7 +40,7 @@
 // monitoredConn is a connection that records when it last received data and counts the
 // writes. It measures times from opened, so that a jump of the time of day is no silence.
 type monitoredConn struct {
-	net.Conn
+	boundedConn
 	opened time.Time
 	// lastRead is the time of the last read that returned data, in nanoseconds after opened.
 	lastRead atomic.Int64
@@ -50,7 +51,7 @@
 // Write implements net.Conn.
 func (m *monitoredConn) Write(b []byte) (int, error) {
 	m.writes.Add(1)
-	return m.Conn.Write(b)
+	return m.boundedConn.Write(b)
 }
 
 // Read implements net.Conn.
@@ -171,7 +172,7 @@
 
 // newConnection starts an RPC client on a connection that was opened just now.
 func newConnection(conn net.Conn, now time.Time) *connection {
-	m := &monitoredConn{Conn: conn, opened: now}
+	m := &monitoredConn{boundedConn: boundedConn{conn, callWriteTimeout}, opened: now}
 	l := &connection{Client: rpc.NewClientWithCodec(coder.NewClientCodec(m)), conn: m}
 	l.lastProbe.Store(-int64(probeTimeout))
 	return l
@@ -196,6 +197,20 @@
 	}
 }
 
+// result returns the error of a call that has ended, and closes the connection if it has
+// failed.
+func (p *peer) result(l *connection, err error) error {
+	if err == nil || isServerError(err) {
+		return err
+	}
+	p.drop(l)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		p.onUnresponsive(p.address)
+		return errUnresponsive
+	}
+	return err
+}
+
 // isServerError reports whether an error is the peer's reply to a call. The connection on
 // which it arrived is sound, and other calls may be in flight on it.
 func isServerError(err error) bool {
@@ -222,10 +237,7 @@
 	for silentLooks := 0; ; {
 		select {
 		case <-pending.Done:
-			if pending.Error != nil && !isServerError(pending.Error) {
-				p.drop(l)
-			}
-			return pending.Error
+			return p.result(l, pending.Error)
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-timer.C:
--- a/internal/proxy/forwarder/peer_test.go
+++ b/internal/proxy/forwarder/peer_test.go
@@ -84,3 +84,26 @@
 		})
 	})
 }
+
+// A node takes no more bytes, and the message of a call does not fit into the buffers on the
+// way. The call and those behind it must end, and the connection must not stay in use.
+func TestBlockedWriteEndsTheConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Calls over a connection whose peer does not read", t, func() {
+			dials := 0
+			f := New("near", 10, func(context.Context, string) (net.Conn, error) {
+				dials++
+				near, _ := net.Pipe()
+				return near, nil
+			})
+			defer f.Close()
+			for range 2 {
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				So(f.Call(ctx, "far", "Run", &RunArgs{}, &RunReply{}), ShouldEqual, errUnresponsive)
+				So(ctx.Err(), ShouldBeNil)
+				cancel()
+			}
+			So(dials, ShouldEqual, 2)
+		})
+	})
+}
--- a/internal/proxy/forwarder/receiver_test.go
+++ b/internal/proxy/forwarder/receiver_test.go
@@ -161,3 +161,40 @@
 		})
 	})
 }
+
+// oneConn is a listener that accepts one connection.
+type oneConn struct{ conns chan net.Conn }
+
+func (l oneConn) Accept() (net.Conn, error) {
+	c, open := <-l.conns
+	if !open {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+
+func (oneConn) Close() error   { return nil }
+func (oneConn) Addr() net.Addr { return nil }
+
+// A node that does not read its replies, because it was paused, must not hold up the stop of the
+// node that replies.
+func TestUnreadReplyEndsTheConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("A peer sends a message and does not read", t, func() {
+			r, err := NewReceiver(10, nil, fakeNode{})
+			So(err, ShouldBeNil)
+			near, far := net.Pipe()
+			l := oneConn{make(chan net.Conn, 1)}
+			l.conns <- far
+			close(l.conns)
+			go r.Serve(l)
+			So(coder.NewClientCodec(near).WriteRequest(&rpc.Request{ServiceMethod: "Node.Ping", Seq: 1}, &Empty{}), ShouldBeNil)
+			synctest.Wait()
+			So(r.Pending(), ShouldEqual, 1)
+			time.Sleep(replyWriteTimeout + time.Millisecond)
+			synctest.Wait()
+			So(r.Pending(), ShouldEqual, 0)
+			So(near.Close(), ShouldBeNil)
+		})
+	})
+}
