executor: a status that promises too much is not passed on to the caller

What callers would see: a call that is not idempotent runs twice. An upstream that answers 408, 429 or 503 without stating that it has not run the call promises nothing, but its caller takes these statuses as the promise that the call has not run, and sends it again. Until now such an answer was returned as it came, even without the upstream's stamp. Now it counts as broken: a call that is not idempotent gets 502, an idempotent one is tried at another upstream within its limits.

By the protocol upstreams always state it with these statuses, so this concerns faulty ones, and health checks sent through the proxy (503 by a draining upstream), which are GET. What speaks against it: answers are to be passed on unchanged; a promise that is not true was judged worse.

--- a/internal/proxy/executor/exchange.go
+++ b/internal/proxy/executor/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
@@ -109,20 +110,32 @@
 }
 
 // classify returns the result of a call from its answer. An answer with a content
-// encoding, or with a status below 300 but without the upstream's stamp, counts as broken.
+// encoding, or with a status below 300 but without the upstream's stamp, counts as broken. So
+// does one whose status promises the caller that the call has not run, unless the upstream states
+// that.
 func classify(head Head, body []byte) exchangeResult {
 	switch {
 	case head.Misdirected:
 		return exchangeResult{Result: carrier.Result{Outcome: carrier.NotRun, Reason: carrier.WrongEndpoint, Arrived: true}, head: head}
 	case head.NotExecuted:
 		return exchangeResult{Result: carrier.Result{Outcome: carrier.NotRun, Reason: carrier.UpstreamShed, Arrived: true}, head: head}
-	case head.Encoded || (!head.Stamped && head.Status < 300):
+	case head.Encoded || (!head.Stamped && head.Status < 300) || promisesNotRun(head.Status):
 		return exchangeResult{Result: carrier.Fail(carrier.AnswerBroken), head: head}
 	}
 	answer := carrier.Answer{Status: head.Status, Fields: head.Fields, Body: body}
 	return exchangeResult{Result: carrier.Result{Outcome: carrier.Run, Answer: answer, Arrived: true}, head: head}
 }
 
+// promisesNotRun reports whether callers take a status to mean that a call has not run and will
+// not.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // reasonOf returns why a context has ended: its deadline has passed or the caller has disconnected.
 func reasonOf(ctx context.Context) carrier.Reason {
 	if context.Cause(ctx) == context.DeadlineExceeded {
