tracker: a drain stated in a heartbeat that does not count is kept

Found in reading again: a heartbeat of the incarnation whose address another one has, if it says that it drains, was dropped as a late one, and if that incarnation had not ended, an earlier heartbeat that came after 5 s made it ready. Now the drain is recorded first.

--- a/internal/proxy/tracker/tracker.go
+++ b/internal/proxy/tracker/tracker.go
@@ -106,15 +106,18 @@
 // whatever the verdict is, since it is of no use that the upstream sends an outdated one
 // again.
 func (t *Tracker) Accept(h Heartbeat, now time.Time) Verdict {
-	if t.outdated(h) || t.isLateFormer(h, now) {
+	if t.outdated(h) {
+		return Outdated
+	}
+	if h.Draining {
+		t.recordDraining(h.Incarnation(), now, now)
+	}
+	if t.isLateFormer(h, now) {
 		return Outdated
 	}
 	before := t.current
 	next := Upstream{Heartbeat: h, State: Ready, ColdUntil: now.Add(h.ColdLeft)}
 	sameIncarnation := before.State != Absent && before.Instance == h.Instance && before.Born == h.Born
-	if h.Draining {
-		t.recordDraining(Incarnation{h.Instance, h.Born}, now, now)
-	}
 	if since, draining := t.drainingSince(Incarnation{h.Instance, h.Born}); draining {
 		next.State, next.DrainingSince = Draining, since
 	}
--- a/internal/proxy/tracker/tracker_test.go
+++ b/internal/proxy/tracker/tracker_test.go
@@ -107,6 +107,13 @@
 			So(tr.Accept(heartbeat("former", 7, 7), now.Add(silentTime)), ShouldEqual, Changed)
 			So(tr.Accept(heartbeat("former", 7, 8), now.Add(silentTime+time.Second)), ShouldEqual, Refreshed)
 		})
+		Convey("is known to drain if it said so meanwhile", func() {
+			draining := heartbeat("former", 7, 7)
+			draining.Draining = true
+			So(tr.Accept(draining, now.Add(time.Second)), ShouldEqual, Outdated)
+			tr.Accept(heartbeat("former", 7, 8), now.Add(silentTime))
+			So(tr.Current().State, ShouldEqual, Draining)
+		})
 		Convey("does not hold back the other one, whose clock may be behind", func() {
 			So(tr.Accept(heartbeat("next", 6, 1), now.Add(time.Second)), ShouldEqual, Changed)
 		})
