assembler, finder: a drain is acknowledged once the store has it

What callers would see: after all processes were killed just after a drain was acknowledged, calls at the upstream later than its drain time, if a heartbeat from before the drain still arrives. The drain was known only to processes that are gone: it was acknowledged once three other nodes had replied, while the entry in the store was written in the background.

The acknowledgement now also waits for the entry, 0.3 s at most, so that the store's outages delay it no more than that (waits for discovery 0.5 s, recovery 0.15 s and this together stay below the second within which a heartbeat must be acknowledged).

--- a/internal/proxy/assembler/drains.go
+++ b/internal/proxy/assembler/drains.go
@@ -15,8 +15,12 @@
 	drainReplicas = 3
 	// drainReplicaTimeout bounds the calls to these nodes, all together.
 	drainReplicaTimeout = 150 * time.Millisecond
+	// drainEntryTimeout bounds how long an acknowledgement waits until the entry in the store
+	// has the drain. All these waits together stay below the second within which a heartbeat
+	// has to be acknowledged.
+	drainEntryTimeout = 300 * time.Millisecond
 	// discoveryWait bounds how long the first heartbeats wait for the node to discover the
-	// others. It is below the second within which a heartbeat has to be acknowledged.
+	// others.
 	discoveryWait = 500 * time.Millisecond
 	// drainRecordTTL is how long the record of a drain is kept for other nodes after it was
 	// received last.
@@ -105,14 +109,18 @@
 }
 
 // replicateDrain sends this node's member record, which holds the drain of its upstream,
-// to other nodes. The drain is acknowledged to the upstream afterwards, even if none of
-// them replied.
+// to other nodes, and waits until the entry in the store holds it too, which outlives the loss
+// of all nodes. The drain is acknowledged to the upstream afterwards, even if none of them
+// replied.
 func (p *Proxy) replicateDrain() {
+	ctx, cancel := context.WithTimeout(context.Background(), drainEntryTimeout)
+	defer cancel()
 	self := p.Self()
 	callDrainReplicas(p, func(ctx context.Context, address string) (struct{}, error) {
 		_, err := p.forwarder.Announce(ctx, address, self)
 		return struct{}{}, err
 	})
+	p.finder.AwaitDrain(ctx, self.DrainStart)
 }
 
 // callDrainReplicas calls up to drainReplicas other nodes in parallel and returns the
--- a/internal/proxy/assembler/outage_test.go
+++ b/internal/proxy/assembler/outage_test.go
@@ -121,7 +121,7 @@
 	}
 }
 
-// All processes are killed after a drain was acknowledged. A heartbeat from before it that
+// All processes are killed after a drain was acknowledged, or at once. A heartbeat from before it that
 // arrives at the next process must not make the upstream take calls again.
 func TestDrainSurvivesLossOfAllNodes(t *testing.T) {
 	cases := []struct {
@@ -129,12 +129,19 @@
 		// later than the draining upstream's node the others start again.
 		killed, behind time.Duration
 	}{
+		{0, 0},
 		{time.Second, 0},
 		{time.Second, 3 * time.Second},
 	}
 	for _, c := range cases {
 		t.Run(fmt.Sprintf("killed after %v, others start %v later", c.killed, c.behind), func(t *testing.T) {
 			inMesh(t, []string{"x", "y"}, func(m *mesh.Mesh) {
+				m.Network.Delay(func(from, to string) time.Duration {
+					if from == "store" || to == "store" {
+						return 10 * time.Millisecond
+					}
+					return 0
+				})
 				draining := nodesOf(m, "a")[0]
 				u := draining.Upstream
 				So(u.Deregister(context.Background()), ShouldEqual, http.StatusOK)
--- a/internal/proxy/finder/finder.go
+++ b/internal/proxy/finder/finder.go
@@ -109,7 +109,7 @@
 
 	// lease is the lease of the node's entry; its ID is 0 if there is none.
 	lease keeper.Lease
-	// registered is the record in the node's entry.
+	// registered is the record in the node's entry. It is written under mu.
 	registered balancer.Member
 	// registeredAt is when that was written.
 	registeredAt time.Time
@@ -118,6 +118,8 @@
 	earlyReadsLeft int
 
 	mu sync.Mutex
+	// written is closed and replaced when the node's entry has been written.
+	written chan struct{}
 	// acknowledged is the highest sequence of this node's record that each incarnation has
 	// acknowledged. It does not outgrow the members.
 	acknowledged map[incarnation]uint64
@@ -148,7 +150,7 @@
 func New(config Config) *Finder {
 	return &Finder{
 		config: config, trigger: make(chan struct{}, 1), acknowledged: map[incarnation]uint64{}, announcing: map[incarnation]bool{},
-		removed: map[string]removal{}, discovered: make(chan struct{}),
+		removed: map[string]removal{}, written: make(chan struct{}), discovered: make(chan struct{}),
 	}
 }
 
@@ -276,10 +278,32 @@
 	if err != nil {
 		return err
 	}
+	f.mu.Lock()
 	f.registered, f.registeredAt = own, time.Now()
+	close(f.written)
+	f.written = make(chan struct{})
+	f.mu.Unlock()
 	return nil
 }
 
+// AwaitDrain waits until the node's entry has the given drain start, in Unix milliseconds, or
+// the context ends. The drain must have been announced (AnnounceNow).
+func (f *Finder) AwaitDrain(ctx context.Context, start int64) {
+	for {
+		f.mu.Lock()
+		recorded, written := f.registered.DrainStart == start, f.written
+		f.mu.Unlock()
+		if recorded {
+			return
+		}
+		select {
+		case <-written:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // read updates the members from the entries in the store, and probes the members that have
 // none or only one of an earlier process. If the node's own entry is not as it was written,
 // it is written again in the next round.
