--- a/internal/observe/reporter/reporter.go
+++ b/internal/observe/reporter/reporter.go
@@ -1,7 +1,7 @@
 // Package reporter writes the log and the metrics of a proxy. The log has a JSON line for
 // each call that was not routine and for each change in the state of the node, its
-// members and its upstream. The metrics count all calls. Lines about calls and about new
-// or changed members are rate-limited, so that the log stays small under load.
+// members and its upstream. The metrics count all calls. Lines about calls, about members and
+// about unusable input are rate-limited, so that the log stays small under load.
 package reporter
 
 import (
@@ -25,17 +25,20 @@
 	"github.com/tamarackscale/tamarackscale/internal/proxy/tracker"
 )
 
-// callLinesPerSecond and memberLinesPerSecond are the maximum rates of lines about calls
-// and about new or changed members.
+// callLinesPerSecond, memberLinesPerSecond and inputLinesPerSecond are the maximum rates of lines
+// about calls, about new, changed or lost members, and about unusable configurations, entries and
+// heartbeats.
 const (
 	callLinesPerSecond   = 60
 	memberLinesPerSecond = 20
+	inputLinesPerSecond  = 20
 )
 
 // The events of lines that count the lines suppressed by a rate limit.
 const (
 	callsSuppressedEvent   = "callsSummed"
 	membersSuppressedEvent = "membersSummed"
+	inputsSuppressedEvent  = "inputsSummed"
 )
 
 // Reporter implements the observers of a proxy's components. It is safe for concurrent
@@ -62,6 +65,7 @@
 	mu            sync.Mutex
 	callLimiter   *limiter
 	memberLimiter *limiter
+	inputLimiter  *limiter
 }
 
 // latencyBuckets are in seconds.
@@ -71,15 +75,13 @@
 // availability zone as fields. The caller must close the reporter.
 func New(node, zone string, output io.Writer) *Reporter {
 	writer := NewWriter(output)
-	logger := logrus.New()
-	logger.SetOutput(writer)
-	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
 	r := &Reporter{
-		log:           logger.WithFields(logrus.Fields{"node": node, "zone": zone}),
+		log:           newLog(writer, logrus.Fields{"node": node, "zone": zone}),
 		writer:        writer,
 		registry:      prometheus.NewRegistry(),
 		callLimiter:   newLimiter(callLinesPerSecond),
 		memberLimiter: newLimiter(memberLinesPerSecond),
+		inputLimiter:  newLimiter(inputLinesPerSecond),
 	}
 	r.callTime = histogram("tamarackscale_call_seconds", "Whole time of a call.", "service", "rank", "outcome")
 	r.upstreamTime = histogram("tamarackscale_upstream_seconds", "Time of a hand-over at the upstream.", "service")
@@ -98,6 +100,14 @@
 	return r
 }
 
+// newLog returns a log to output whose lines have the given fields.
+func newLog(output io.Writer, fields logrus.Fields) *logrus.Entry {
+	logger := logrus.New()
+	logger.SetOutput(output)
+	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	return logger.WithFields(fields)
+}
+
 func gauge(name, help string) prometheus.Gauge {
 	return prometheus.NewGauge(prometheus.GaugeOpts{Name: name, Help: help})
 }
@@ -196,24 +206,24 @@
 	r.mu.Lock()
 	allowed, suppressed := l.allow(reason, time.Now())
 	r.mu.Unlock()
-	r.logSuppressed(event, suppressed)
-	if suppressed != nil {
-		r.logDropped()
+	logSuppressed(r.log, event, suppressed)
+	if suppressed != nil && r.writer.HasSpace() {
+		logDropped(r.log, r.writer.Dropped())
 	}
 	return allowed
 }
 
 // logSuppressed logs how many lines the rate limit suppressed, one line per reason.
-func (r *Reporter) logSuppressed(event string, suppressed map[string]int) {
+func logSuppressed(log *logrus.Entry, event string, suppressed map[string]int) {
 	for reason, count := range suppressed {
-		r.log.WithFields(logrus.Fields{"event": event, "reason": reason, "count": count}).Info("lines suppressed by the rate limit")
+		log.WithFields(logrus.Fields{"event": event, "reason": reason, "count": count}).Info("lines suppressed by the rate limit")
 	}
 }
 
 // logDropped logs how many lines the writer dropped because its buffer was full.
-func (r *Reporter) logDropped() {
-	if dropped := r.writer.Dropped(); dropped > 0 {
-		r.log.WithFields(logrus.Fields{"event": "linesDropped", "count": dropped}).Warn("log lines were dropped")
+func logDropped(log *logrus.Entry, dropped int64) {
+	if dropped > 0 {
+		log.WithFields(logrus.Fields{"event": "linesDropped", "count": dropped}).Warn("log lines were dropped")
 	}
 }
 
@@ -232,16 +242,19 @@
 	r.log.WithFields(logrus.Fields{"event": "stopped", "inFlight": inFlight}).Info("process stopped")
 }
 
-// Close logs the counts of suppressed lines, writes the pending lines and ends the writer.
-// Lines logged later are lost.
+// Close writes the pending lines, ends the writer and logs the counts of suppressed and dropped
+// lines. These are written past the writer's buffer, which may be full. Lines logged later are
+// lost.
 func (r *Reporter) Close() {
 	r.mu.Lock()
-	calls, members := r.callLimiter.suppressed, r.memberLimiter.suppressed
-	r.callLimiter.suppressed, r.memberLimiter.suppressed = map[string]int{}, map[string]int{}
+	calls, members, inputs := r.callLimiter.take(), r.memberLimiter.take(), r.inputLimiter.take()
 	r.mu.Unlock()
-	r.logSuppressed(callsSuppressedEvent, calls)
-	r.logSuppressed(membersSuppressedEvent, members)
 	r.writer.Close()
+	log := newLog(r.writer.output, r.log.Data)
+	logSuppressed(log, callsSuppressedEvent, calls)
+	logSuppressed(log, membersSuppressedEvent, members)
+	logSuppressed(log, inputsSuppressedEvent, inputs)
+	logDropped(log, r.writer.Dropped())
 }
 
 // Reloaded logs that the settings were read again. If err is not nil, they could not be
@@ -282,8 +295,11 @@
 }
 
 // Unusable implements subscriber.Observer. It logs a configuration that could not be
-// encoded or decoded.
+// encoded or decoded, subject to the rate limit of input.
 func (r *Reporter) Unusable(source string, err error) {
+	if !r.allow(r.inputLimiter, inputsSuppressedEvent, source) {
+		return
+	}
 	r.log.WithFields(logrus.Fields{"event": "unusable", "source": source}).WithError(err).Error("configuration is unusable")
 }
 
@@ -339,14 +355,22 @@
 	}).Info("member is new or has changed")
 }
 
-// MemberLost implements finder.Observer. It logs the removal of a member.
+// MemberLost implements finder.Observer. It logs the removal of a member, subject to the rate
+// limit.
 func (r *Reporter) MemberLost(m balancer.Member) {
+	if !r.allow(r.memberLimiter, membersSuppressedEvent, "lost") {
+		return
+	}
 	r.log.WithFields(logrus.Fields{"event": "memberLost", "member": m.Node}).Info("unresponsive or replaced member removed")
 }
 
 // EntryUnusable implements finder.Observer. It logs the key of a store entry that does not
-// describe a member; err is nil if the entry could be decoded but lacks a field.
+// describe a member; err is nil if the entry could be decoded but lacks a field. It is subject
+// to the rate limit of input.
 func (r *Reporter) EntryUnusable(key string, err error) {
+	if !r.allow(r.inputLimiter, inputsSuppressedEvent, "entry") {
+		return
+	}
 	r.log.WithFields(logrus.Fields{"event": "entryUnusable", "key": key}).WithError(err).Warn("store entry does not describe a member")
 }
 
@@ -362,7 +386,10 @@
 }
 
 // HeartbeatRejected logs that a heartbeat or a deregistration of the local upstream was
-// rejected.
+// rejected, subject to the rate limit of input.
 func (r *Reporter) HeartbeatRejected(err error) {
+	if !r.allow(r.inputLimiter, inputsSuppressedEvent, "heartbeat") {
+		return
+	}
 	r.log.WithField("event", "reportRefused").WithError(err).Warn("heartbeat or deregistration rejected")
 }
--- a/internal/observe/reporter/reporter_test.go
+++ b/internal/observe/reporter/reporter_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -121,3 +122,72 @@
 		})
 	})
 }
+
+// slowOutput is an output whose Write blocks until release is closed.
+type slowOutput struct {
+	blockedOutput
+	bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (o *slowOutput) Write(b []byte) (int, error) {
+	<-o.release
+	return o.Buffer.Write(b)
+}
+
+// What the log lacks must be seen in its last lines, also if they don't fit in the buffer.
+func TestCountsOfMissingLinesAreNotLostAtClose(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		output := &slowOutput{blockedOutput: blockedOutput{release: make(chan struct{})}}
+		r := New("n-1", "z", output)
+		r.StoreRegained()
+		synctest.Wait()
+		const lines = 2 * maxPendingLines
+		for range lines {
+			r.StoreRegained()
+		}
+		for range memberLinesPerSecond + 7 {
+			r.MemberFound(balancer.Member{Node: "n-2"}, "peer")
+		}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			r.Close()
+		}()
+		synctest.Wait()
+		close(output.release)
+		<-done
+		Convey("Suppressed and dropped lines are counted", t, func() {
+			So(strings.Contains(output.String(), `"count":7,"event":"membersSummed"`), ShouldBeTrue)
+			dropped := fmt.Sprintf(`"count":%d,"event":"linesDropped"`, lines+memberLinesPerSecond-maxPendingLines)
+			So(strings.Contains(output.String(), dropped), ShouldBeTrue)
+		})
+	})
+}
+
+// Bad input from elsewhere and the loss of many members must not fill the log.
+func TestLinesAboutInputAreRateLimited(t *testing.T) {
+	const lines = 1000
+	err := errors.New("unusable")
+	cases := map[string]func(r *Reporter){
+		"memberLost":    func(r *Reporter) { r.MemberLost(balancer.Member{Node: "n-2"}) },
+		"entryUnusable": func(r *Reporter) { r.EntryUnusable("key", err) },
+		"unusable":      func(r *Reporter) { r.Unusable("relay", err) },
+		"reportRefused": func(r *Reporter) { r.HeartbeatRejected(err) },
+	}
+	for event, log := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			var output bytes.Buffer
+			r := New("n-1", "z", &output)
+			for range lines {
+				log(r)
+			}
+			r.Close()
+			Convey(event+" is logged some times and counted beyond", t, func() {
+				logged := strings.Count(output.String(), `"event":"`+event+`"`)
+				So(logged, ShouldBeBetween, 0, 30)
+				So(strings.Contains(output.String(), fmt.Sprintf(`"count":%d,`, lines-logged)), ShouldBeTrue)
+			})
+		})
+	}
+}
--- a/internal/proxy/forwarder/peer.go
+++ b/internal/proxy/forwarder/peer.go
@@ -22,6 +22,8 @@
 	// it is probed, and probeTimeout how much longer before it is closed as unresponsive.
 	probeAfter   = 200 * time.Millisecond
 	probeTimeout = 300 * time.Millisecond
+	// lookInterval is the interval between looks for data on a silent connection.
+	lookInterval = probeTimeout / 4
 )
 
 var (
@@ -194,11 +196,17 @@
 	}
 }
 
+// isServerError reports whether an error is the peer's reply to a call. The connection on
+// which it arrived is sound, and other calls may be in flight on it.
+func isServerError(err error) bool {
+	var replied rpc.ServerError
+	return errors.As(err, &replied)
+}
+
 // call makes one call on a connection, which it probes while no data arrives. After an
-// error other than that of the context, also one that the method returned, the
-// connection is closed.
+// error other than that of the context or one that the peer replied, the connection is
+// closed.
 func (p *peer) call(ctx context.Context, l *connection, method string, args, reply any) error {
-	start := time.Now()
 	writesBefore := l.conn.writes.Load()
 	pending := l.Go(serviceName+"."+method, args, reply, make(chan *rpc.Call, 1))
 	if l.conn.writes.Load() == writesBefore {
@@ -207,12 +215,14 @@
 		p.drop(l)
 		return errNotSent
 	}
+	// A long message may take a while to write. Until then no reply to it can arrive.
+	start := time.Now()
 	timer := time.NewTimer(probeAfter)
 	defer timer.Stop()
-	for {
+	for silentLooks := 0; ; {
 		select {
 		case <-pending.Done:
-			if pending.Error != nil {
+			if pending.Error != nil && !isServerError(pending.Error) {
 				p.drop(l)
 			}
 			return pending.Error
@@ -221,16 +231,22 @@
 		case <-timer.C:
 			now := time.Now()
 			idleTime := l.conn.idleTime(start, now)
-			if idleTime >= probeAfter+probeTimeout {
+			if idleTime < probeAfter {
+				silentLooks = 0
+				timer.Reset(max(probeAfter-idleTime, lookInterval))
+				continue
+			}
+			// The first silent look probes. If this process was stalled, the reply to it
+			// still has the whole probeTimeout, since the looks count and not the time.
+			if silentLooks++; silentLooks > int(probeTimeout/lookInterval) {
 				p.drop(l)
 				p.onUnresponsive(p.address)
 				return errUnresponsive
 			}
-			if idleTime >= probeAfter && l.probeDue(now) {
+			if l.probeDue(now) {
 				l.Go(serviceName+".Ping", &Empty{}, &Empty{}, make(chan *rpc.Call, 1))
 			}
-			// A quarter of probeTimeout bounds how late the end of probeTimeout is detected.
-			timer.Reset(max(probeAfter-idleTime, probeTimeout/4))
+			timer.Reset(lookInterval)
 		}
 	}
 }
--- a/internal/proxy/runner/runner.go
+++ b/internal/proxy/runner/runner.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/tamarackscale/tamarackscale/internal/input/collector"
+	"github.com/tamarackscale/tamarackscale/internal/observe/reporter"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/assembler"
 	"github.com/tamarackscale/tamarackscale/internal/settings/reader"
 )
@@ -46,7 +47,8 @@
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	debug.SetGCPercent(gcPercent)
-	settings, err := reader.Load(options.Settings)
+	source := &file{path: options.Settings}
+	settings, err := source.load()
 	if err != nil {
 		_, _ = fmt.Fprintln(errorOutput, err)
 		var findings collector.Findings
@@ -63,34 +65,75 @@
 		_, _ = fmt.Fprintln(errorOutput, err)
 		return ExitFailure
 	}
-	serveUntilSignal(proxy, options.Settings, signals)
+	serveUntilSignal(proxy, source, signals)
 	return ExitOK
 }
 
+// process is the running proxy.
+type process interface {
+	Stop(reason string)
+	Reload(s *reader.Settings)
+	Reporter() *reporter.Reporter
+}
+
 // serveUntilSignal reloads the settings on SIGHUP and when their file changes, until
-// another signal stops the proxy.
-func serveUntilSignal(proxy *assembler.Proxy, path string, signals <-chan os.Signal) {
+// another signal stops the proxy. The stop does not wait for a reload, which may block for
+// as long as the file's disk does.
+func serveUntilSignal(proxy process, source *file, signals <-chan os.Signal) {
+	hangups, done := make(chan struct{}, 1), make(chan struct{})
+	go watchSettings(proxy, source, hangups, done)
+	for s := range signals {
+		if s != syscall.SIGHUP {
+			close(done)
+			proxy.Stop(s.String())
+			return
+		}
+		select {
+		case hangups <- struct{}{}:
+		default:
+			// A reload that has yet to begin reads the change as well.
+		}
+	}
+}
+
+// watchSettings reloads the settings after each hangup and change of their file, until done
+// is closed.
+func watchSettings(proxy process, source *file, hangups, done <-chan struct{}) {
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
-	lastModified := modTime(path)
 	for {
 		select {
-		case s := <-signals:
-			if s != syscall.SIGHUP {
-				proxy.Stop(s.String())
-				return
-			}
-			lastModified = modTime(path)
-			reload(proxy, path)
+		case <-done:
+			return
+		case <-hangups:
+			reload(proxy, source)
 		case <-ticker.C:
-			if modified := modTime(path); !modified.Equal(lastModified) {
-				lastModified = modified
-				reload(proxy, path)
+			if source.changed() {
+				reload(proxy, source)
 			}
 		}
 	}
 }
 
+// file is a settings file.
+type file struct {
+	path string
+	// modified is the time of the file's last modification, taken before it was read last, so
+	// that a change while it is read, or until the proxy has started, is noticed.
+	modified time.Time
+}
+
+// load reads and validates the file.
+func (f *file) load() (*reader.Settings, error) {
+	f.modified = modTime(f.path)
+	return reader.Load(f.path)
+}
+
+// changed reports whether the file was modified after it was read last.
+func (f *file) changed() bool {
+	return !modTime(f.path).Equal(f.modified)
+}
+
 // modTime returns when the file was last modified; zero if it can't be read. That counts as
 // a change, and so does the return of the file.
 func modTime(path string) time.Time {
@@ -103,8 +146,8 @@
 
 // reload applies the settings file to the running proxy. If the file is unreadable or
 // invalid, the settings in use stay in force.
-func reload(proxy *assembler.Proxy, path string) {
-	settings, err := reader.Load(path)
+func reload(proxy process, f *file) {
+	settings, err := f.load()
 	if err == nil {
 		proxy.Reload(settings)
 	}
