forwarder: a connection that opens after its peer was closed is closed

What callers would see: nothing at once. A node that forgets a member while it opens a connection to it kept the connection, which nothing closed later and which no call could find.

Cause: close ended the open connection, but not a dial in progress.

The dial now closes the connection that it opens after that. Calls that waited for it get an error before anything of them was sent, so they have not run and go to another node. A resent attempt opens a connection again.

--- a/internal/proxy/forwarder/peer.go
+++ b/internal/proxy/forwarder/peer.go
@@ -98,6 +98,8 @@
 	connection *connection
 	// dialing is closed when the dial in progress has ended; nil if there is none.
 	dialing chan struct{}
+	// abandoned is the channel of the last dial that was in progress when the peer was closed.
+	abandoned chan struct{}
 	// unresponsive reports that dials time out. Calls to such a node do not wait for a
 	// connection: they start a dial in the background if none is in progress, and fail at
 	// once.
@@ -139,7 +141,7 @@
 		return p.connection, nil
 	}
 	if p.err == nil {
-		// Another call has closed the new connection already.
+		// The new connection was closed already, by another call or with the peer.
 		return nil, errNoConnection
 	}
 	return nil, p.err
@@ -167,6 +169,10 @@
 	if err != nil {
 		return
 	}
+	if p.abandoned == done {
+		_ = conn.Close()
+		return
+	}
 	p.connection = newConnection(conn, time.Now())
 }
 
@@ -188,9 +194,13 @@
 	_ = l.Close()
 }
 
+// close closes the connection, or the one that is being opened as soon as it is open.
 func (p *peer) close() {
 	p.mu.Lock()
 	l := p.connection
+	if p.dialing != nil {
+		p.abandoned = p.dialing
+	}
 	p.mu.Unlock()
 	if l != nil {
 		p.drop(l)
--- a/internal/proxy/forwarder/peer_test.go
+++ b/internal/proxy/forwarder/peer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/rpc"
 	"sync/atomic"
@@ -107,3 +108,24 @@
 		})
 	})
 }
+
+// A member is removed while a connection to it is being opened. The connection must be closed
+// when it opens, since nothing would close it later.
+func TestConnectionOpenedAfterForgetIsClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("A connection that opens after its member was forgotten", t, func() {
+			near, far := net.Pipe()
+			f := New("near", 10, func(context.Context, string) (net.Conn, error) {
+				time.Sleep(connectTimeout / 2)
+				return near, nil
+			})
+			done := make(chan error)
+			go func() { done <- f.Call(context.Background(), "far", "Run", &RunArgs{}, &RunReply{}) }()
+			synctest.Wait()
+			f.Forget("far")
+			So(<-done, ShouldEqual, errNoConnection)
+			_, err := far.Read(make([]byte, 1))
+			So(err, ShouldEqual, io.EOF)
+		})
+	})
+}
