--- a/internal/proxy/forwarder/peer_test.go
+++ b/internal/proxy/forwarder/peer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/rpc"
 	"sync/atomic"
@@ -84,3 +85,47 @@
 		})
 	})
 }
+
+// A node takes no more bytes, and the message of a call does not fit into the buffers on the
+// way. The call and those behind it must end, and the connection must not stay in use.
+func TestBlockedWriteEndsTheConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Calls over a connection whose peer does not read", t, func() {
+			dials := 0
+			f := New("near", 10, func(context.Context, string) (net.Conn, error) {
+				dials++
+				near, _ := net.Pipe()
+				return near, nil
+			})
+			defer f.Close()
+			for range 2 {
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				So(f.Call(ctx, "far", "Run", &RunArgs{}, &RunReply{}), ShouldEqual, errUnresponsive)
+				So(ctx.Err(), ShouldBeNil)
+				cancel()
+			}
+			So(dials, ShouldEqual, 2)
+		})
+	})
+}
+
+// A member is removed while a connection to it is being opened. The connection must be closed
+// when it opens, since nothing would close it later.
+func TestConnectionOpenedAfterForgetIsClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("A connection that opens after its member was forgotten", t, func() {
+			near, far := net.Pipe()
+			f := New("near", 10, func(context.Context, string) (net.Conn, error) {
+				time.Sleep(connectTimeout / 2)
+				return near, nil
+			})
+			done := make(chan error)
+			go func() { done <- f.Call(context.Background(), "far", "Run", &RunArgs{}, &RunReply{}) }()
+			synctest.Wait()
+			f.Forget("far")
+			So(<-done, ShouldEqual, errNoConnection)
+			_, err := far.Read(make([]byte, 1))
+			So(err, ShouldEqual, io.EOF)
+		})
+	})
+}
