known red: a closed forwarder opens connections

Found in review; product code is unchanged. Harmless in production, where the process ends; tests in simulated time that kill a node soon after its start can fail by it.

--- a/internal/proxy/forwarder/peer_test.go
+++ b/internal/proxy/forwarder/peer_test.go
@@ -129,3 +129,26 @@
 		})
 	})
 }
+
+// A closed forwarder must open no connection to a node that it had none to before, since
+// nothing would close it.
+func TestClosedForwarderOpensNoConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("A call after Close", t, func() {
+			var dialed atomic.Int64
+			near, far := net.Pipe()
+			f := New("near", 10, func(context.Context, string) (net.Conn, error) {
+				dialed.Add(1)
+				return near, nil
+			})
+			f.Close()
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			err := f.Call(ctx, "far", "Run", &RunArgs{}, &RunReply{})
+			_, _ = near.Close(), far.Close()
+			time.Sleep(time.Minute)
+			So(err, ShouldNotBeNil)
+			So(dialed.Load(), ShouldEqual, 0)
+		})
+	})
+}
