--- a/internal/proxy/subscriber/relays.go
+++ b/internal/proxy/subscriber/relays.go
@@ -117,7 +117,8 @@
 		}
 		s.setRelaySubscribed(index, err == nil && reply.Subscribed && reply.Start == relay.Start)
 		s.relayRequested[index].Store(true)
-		if (err != nil || !reply.Subscribed) && !pauser.Pause(ctx, peerPollInterval) {
+		// A version that was not applied can't be decoded; it would be sent again at once.
+		if (err != nil || !reply.Subscribed || reply.Version > s.Version()) && !pauser.Pause(ctx, peerPollInterval) {
 			return
 		}
 	}
--- a/internal/proxy/subscriber/subscriber_test.go
+++ b/internal/proxy/subscriber/subscriber_test.go
@@ -280,3 +280,27 @@
 		})
 	})
 }
+
+// A relay of another release sends a version that this node can't decode, in each reply. The
+// node asked again at once, a thousand times a second.
+func TestUndecodableVersionIsNotRequestedWithoutPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("A node whose relay has a version of a later release", t, func() {
+			s := newRelease(3)
+			s.apply([]byte("3"), "relay", keeper.Position{})
+			s.config.OwnAddress = "own"
+			s.config.Relays = func() []Relay { return []Relay{{Address: "relay"}, {Address: "own"}} }
+			requests := 0
+			s.config.Request = func(context.Context, string, forwarder.ConfigurationArgs) (forwarder.ConfigurationReply, error) {
+				requests++
+				time.Sleep(time.Millisecond)
+				return replyWith(s, "4", keeper.Position{Era: 1, Revision: 9}), nil
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			s.pollRelay(ctx, 0)
+			So(requests, ShouldBeLessThanOrEqualTo, 2*int(10*time.Second/peerPollInterval))
+			So(s.Version(), ShouldEqual, 3)
+		})
+	})
+}
