publisher: a test shows directly that a lost write is found by its nonce

The mutant "a write whose response was lost is found by its nonce in the record" sometimes survived TestConcurrentHistoriesAreLinearizable.

Cause, from 30 runs of the mutated package with the position of the nonce printed at each lookup: every run, the 15 survivors too, looked for nonces at positions 1 to 9, which the mutant does not find. So the mechanism was used in each run, but the test judges it only by the history of answers. The mutant repeats the step, and such a history can often still be put in an order that the model allows: a second start or abort finds the record in a state in which it succeeds, or fails as some order explains.

The new test loses the response to a start after another operator has aborted the rollout, once with one later write and once with as many as the record holds nonces for, and expects that nothing is started again. The mutant is now to be caught by it; the old test stays as it is.

--- a/internal/rollout/publisher/publisher_test.go
+++ b/internal/rollout/publisher/publisher_test.go
@@ -136,6 +136,53 @@
 	})
 }
 
+// overtakenStore is a platform that loses the response to the first write of the record and
+// calls overtake before the writer can read the record back.
+type overtakenStore struct {
+	*platform.Engine
+	overtake func()
+}
+
+// Put implements keeper.Store.
+func (o *overtakenStore) Put(ctx context.Context, r keeper.PutRequest) (keeper.Revision, error) {
+	revision, err := o.Engine.Put(ctx, r)
+	overtake := o.overtake
+	if r.Key != publisher.RecordKey || overtake == nil {
+		return revision, err
+	}
+	o.overtake = nil
+	overtake()
+	return 0, &keeper.UnknownOutcomeError{Operation: "put", Cause: errors.New("lost in this test")}
+}
+
+// TestOvertakenWriteIsNotDoneAgain guards against a rollout that starts a second time because
+// the response to its start was lost and others have written the record since.
+func TestOvertakenWriteIsNotDoneAgain(t *testing.T) {
+	for _, laterWrites := range []int{1, decider.MaxNonces - 1} {
+		inBubble(t, func(ctx context.Context, engine *platform.Engine, other *publisher.Publisher) {
+			_, err := other.Create(ctx, fleet.Bundle("a"), "eva")
+			So(err, ShouldBeNil)
+			_, err = other.Sign(ctx, 1, "eva", fleet.OperatorKey())
+			So(err, ShouldBeNil)
+			store := &overtakenStore{Engine: engine, overtake: func() {
+				record, err := other.Abort(ctx, 1, "ida")
+				So(err, ShouldBeNil)
+				for range laterWrites - 1 {
+					record, err = publisher.PutRecord(ctx, engine, record.Record, record.Revision)
+					So(err, ShouldBeNil)
+				}
+			}}
+			_, err = publisher.New(store, time.Now).Start(ctx, 1, stage("eva"))
+			So(err, ShouldBeNil)
+			So(store.overtake, ShouldBeNil)
+			record, err := other.Record(ctx)
+			So(err, ShouldBeNil)
+			So(record.Staged, ShouldBeNil)
+			So(record.Nonces, ShouldHaveLength, laterWrites+1)
+		})
+	}
+}
+
 // TestCompareHomesDetectsMovedTenants guards against a version that moves a tenant's
 // idempotency records to another zone, where a retried call would be run a second time.
 func TestCompareHomesDetectsMovedTenants(t *testing.T) {
