--- a/internal/proxy/subscriber/subscriber_test.go
+++ b/internal/proxy/subscriber/subscriber_test.go
@@ -227,6 +227,53 @@
 	})
 }
 
+// A zone's relays receive no changes for a moment, as after an outage of the store. If the other
+// nodes did not wait for them, all nodes would contact the store at once.
+func TestNodeThatIsNoRelayWaitsForItsRelays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("A node at position 4 of its zone, whose relays reply", t, func() {
+			const delay = minTakeoverDelay + 4*takeoverDelayStep
+			relay := newRelease(9)
+			relay.apply([]byte("1"), storeSource, keeper.Position{Revision: 1})
+			relay.setWatchingStore(true)
+			s, store := newRelease(9), &hangingStore{}
+			s.config.Store = store
+			s.config.Relays = func() []Relay {
+				return []Relay{{Address: "0"}, {Address: "1"}, {Address: "2"}, {Address: "3"}, {Address: "4"}}
+			}
+			s.config.OwnAddress = "4"
+			s.config.Peers = func() []string { return nil }
+			s.config.Request = func(ctx context.Context, _ string, args forwarder.ConfigurationArgs) (forwarder.ConfigurationReply, error) {
+				ctx, cancel := context.WithTimeout(ctx, args.Wait)
+				defer cancel()
+				return relay.Next(ctx, args.Have), nil
+			}
+			discovered := make(chan struct{})
+			close(discovered)
+			s.config.Discovered = discovered
+			ctx, cancel := context.WithCancel(context.Background())
+			go s.Run(ctx)
+			time.Sleep(5 * time.Second)
+			So(s.Version(), ShouldEqual, 1)
+
+			relay.setWatchingStore(false)
+			time.Sleep(delay - time.Millisecond)
+			So(store.times(), ShouldBeEmpty)
+			Convey("leaves the store to relays that receive changes again", func() {
+				relay.setWatchingStore(true)
+				time.Sleep(time.Minute)
+				So(store.times(), ShouldBeEmpty)
+			})
+			Convey("contacts the store after its delay if they do not", func() {
+				time.Sleep(rolePollInterval + 2*time.Millisecond)
+				So(store.times(), ShouldNotBeEmpty)
+			})
+			cancel()
+			time.Sleep(time.Minute)
+		})
+	})
+}
+
 // positionObserver records the position known when a version comes into force.
 type positionObserver struct {
 	silent
@@ -280,3 +327,27 @@
 		})
 	})
 }
+
+// A relay of another release sends a version that this node can't decode, in each reply. The
+// node asked again at once, a thousand times a second.
+func TestUndecodableVersionIsNotRequestedWithoutPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("A node whose relay has a version of a later release", t, func() {
+			s := newRelease(3)
+			s.apply([]byte("3"), "relay", keeper.Position{})
+			s.config.OwnAddress = "own"
+			s.config.Relays = func() []Relay { return []Relay{{Address: "relay"}, {Address: "own"}} }
+			requests := 0
+			s.config.Request = func(context.Context, string, forwarder.ConfigurationArgs) (forwarder.ConfigurationReply, error) {
+				requests++
+				time.Sleep(time.Millisecond)
+				return replyWith(s, "4", keeper.Position{Era: 1, Revision: 9}), nil
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			s.pollRelay(ctx, 0)
+			So(requests, ShouldBeLessThanOrEqualTo, 2*int(10*time.Second/peerPollInterval))
+			So(s.Version(), ShouldEqual, 3)
+		})
+	})
+}
