stopper: the wait for control calls is short and comes before the last look

The wait of for control calls would last for up to 5 s, within the grace time, if the upstream's client has opened a connection that it does not use: http.Server.Shutdown takes it for one with a request. The VM would have no proxy that long. Found by reading; no run has shown it.

The wait is bounded by the 300 ms that a control call can take, and comes before the last look for calls, so that nothing is accepted during it that the last look does not see.

--- a/internal/proxy/assembler/stopper.go
+++ b/internal/proxy/assembler/stopper.go
@@ -20,6 +20,10 @@
 	// callMargin is the time before exitMargin in which no call runs any more, so that the
 	// answer that its upstream sends at the call's deadline is written.
 	callMargin = 100 * time.Millisecond
+	// controlTimeout bounds the wait for control calls. One takes drainReplicaTimeout to
+	// recover a drain and as long to replicate it. A connection that was opened without a
+	// call is waited for, too.
+	controlTimeout = 2 * drainReplicaTimeout
 	// idleWindow is how long nothing must have been in flight before the node ends.
 	idleWindow = 200 * time.Millisecond
 	// idlePollInterval is the interval between checks for calls in flight.
@@ -49,11 +53,9 @@
 	awaitIdle(deadline, idleWindow, p.busy)
 	// What was accepted since the last look is completed too; nothing new is accepted.
 	p.closeListeners()
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
-	p.acceptor.Shutdown(ctx)
-	awaitIdle(deadline, 0, p.busy)
+	p.endCallers(deadline)
 	p.acknowledgeControl(deadline)
+	awaitIdle(deadline, 0, p.busy)
 	p.telemetry.Stopped(p.acceptor.InFlight())
 	p.Close()
 }
@@ -73,11 +75,20 @@
 	return p.stopDeadline(*start).Add(-callMargin)
 }
 
+// endCallers waits until the connections of callers have ended, at most until the deadline.
+func (p *Proxy) endCallers(deadline time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	p.acceptor.Shutdown(ctx)
+}
+
 // acknowledgeControl waits until the control calls of the upstream that have arrived are
-// answered, at most until the deadline.
+// answered, at most for controlTimeout and until the deadline.
 func (p *Proxy) acknowledgeControl(deadline time.Time) {
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
+	ctx, cancelTimeout := context.WithTimeout(ctx, controlTimeout)
+	defer cancelTimeout()
 	// Close ends what has no answer by then.
 	_ = p.control.Shutdown(ctx)
 }
