finder, assembler: a new process reads its former one's entry as it is now

A process that is not of the first start now reads its own entry once, at its first heartbeat, without stale_read: one call to the store for each restart, spread by the heartbeats. The wait for discovery is 0.35 s instead of 0.5 s, so that all waits of one heartbeat stay below a second.

standin/metastore can show a former state to stale reads.

--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -83,6 +83,8 @@
 	drainRecords *drainRecords
 	// drainQueried is set once another node has replied to a query for a former drain.
 	drainQueried atomic.Bool
+	// formerRead is set once the entry of the former process has been read, or could not be.
+	formerRead atomic.Bool
 }
 
 // New builds a proxy; Start runs it. It returns an error if the RPC methods for other
--- a/internal/proxy/assembler/drains.go
+++ b/internal/proxy/assembler/drains.go
@@ -13,7 +13,8 @@
 	// drainReplicas is how many other nodes get the record of a drain before the
 	// drain is acknowledged. A restarted process queries the same number of nodes.
 	drainReplicas = 3
-	// drainReplicaTimeout bounds the calls to these nodes, all together.
+	// drainReplicaTimeout bounds the calls to these nodes, all together, and the read of the
+	// former process's entry.
 	drainReplicaTimeout = 150 * time.Millisecond
 	// drainEntryTimeout bounds how long an acknowledgement waits until the entry in the store
 	// has the drain. All these waits together stay below the second within which a heartbeat
@@ -21,7 +22,7 @@
 	drainEntryTimeout = 300 * time.Millisecond
 	// discoveryWait bounds how long the first heartbeats wait for the node to discover the
 	// others.
-	discoveryWait = 500 * time.Millisecond
+	discoveryWait = 350 * time.Millisecond
 	// drainRecordTTL is how long the record of a drain is kept for other nodes after it was
 	// received last.
 	drainRecordTTL = time.Minute
@@ -84,6 +85,11 @@
 	case <-p.finder.Discovered():
 	case <-time.After(discoveryWait):
 	}
+	if !p.settings.Load().FirstStart && !p.formerRead.Swap(true) {
+		ctx, cancel := context.WithTimeout(context.Background(), drainReplicaTimeout)
+		p.finder.ReadFormer(ctx)
+		cancel()
+	}
 	if p.drainRecords.lookup(incarnation) != 0 {
 		p.applyFormerDrain(incarnation)
 		return
--- a/internal/proxy/assembler/outage_test.go
+++ b/internal/proxy/assembler/outage_test.go
@@ -10,6 +10,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/tamarackscale/tamarackscale/standin/mesh"
+	"github.com/tamarackscale/tamarackscale/standin/metastore"
 )
 
 // The only upstream of a service was deregistered while the VM's clock was ahead, and its node
@@ -126,15 +127,18 @@
 func TestDrainSurvivesLossOfAllNodes(t *testing.T) {
 	cases := []struct {
 		// killed is when the processes are killed, after the acknowledgement, and behind how much
-		// later than the draining upstream's node the others start again.
+		// later than the draining upstream's node the others start again. Stale reads show the
+		// state from before the drain if stale is set.
 		killed, behind time.Duration
+		stale          bool
 	}{
-		{0, 0},
-		{time.Second, 0},
-		{time.Second, 3 * time.Second},
+		{0, 0, false},
+		{time.Second, 0, false},
+		{time.Second, 3 * time.Second, false},
+		{0, 0, true},
 	}
 	for _, c := range cases {
-		t.Run(fmt.Sprintf("killed after %v, others start %v later", c.killed, c.behind), func(t *testing.T) {
+		t.Run(fmt.Sprintf("killed after %v, others start %v later, stale reads: %v", c.killed, c.behind, c.stale), func(t *testing.T) {
 			inMesh(t, []string{"x", "y"}, func(m *mesh.Mesh) {
 				m.Network.Delay(func(from, to string) time.Duration {
 					if from == "store" || to == "store" {
@@ -144,6 +148,9 @@
 				})
 				draining := nodesOf(m, "a")[0]
 				u := draining.Upstream
+				if c.stale {
+					m.Store.SetFaults(metastore.Faults{Stale: m.Store.Snapshot()})
+				}
 				So(u.Deregister(context.Background()), ShouldEqual, http.StatusOK)
 				time.Sleep(c.killed)
 				for _, n := range m.Nodes {
--- a/internal/proxy/finder/finder.go
+++ b/internal/proxy/finder/finder.go
@@ -333,6 +333,22 @@
 	return nil
 }
 
+// ReadFormer passes the entry of the node's former process to the directory, if it is still
+// there. Unlike the reads of all entries, this one is not stale. An error counts as no entry.
+func (f *Finder) ReadFormer(ctx context.Context) {
+	key := keyPrefix + f.config.Directory.Self().Node
+	snapshot, err := f.config.Store.Range(ctx, key, keeper.Linearizable)
+	if err != nil {
+		return
+	}
+	for _, item := range snapshot.Items {
+		var m balancer.Member
+		if item.Key == key && json.Unmarshal(item.Value, &m) == nil {
+			f.updateMember(m, "store")
+		}
+	}
+}
+
 // isRegistered reports whether m is the record that the node wrote last.
 func (f *Finder) isRegistered(m balancer.Member) bool {
 	return m.Node == f.registered.Node && m.Start == f.registered.Start && m.Sequence == f.registered.Sequence
--- a/standin/metastore/http.go
+++ b/standin/metastore/http.go
@@ -99,7 +99,11 @@
 	const pageSize = 500 // items per response
 	var items []Item
 	more := false
-	for _, item := range s.withPrefix(r.FormValue("prefix")) {
+	all, rev := s.items, s.rev
+	if stale := s.faults.Stale; stale != nil && r.FormValue("stale_read") == "1" {
+		all, rev = stale.items, stale.rev
+	}
+	for _, item := range withPrefix(all, r.FormValue("prefix")) {
 		if item.Key <= r.FormValue("after") {
 			continue
 		}
@@ -108,7 +112,7 @@
 		}
 		items = append(items, item)
 	}
-	return http.StatusOK, map[string]any{"items": items, "has_more": more, "at": s.rev}
+	return http.StatusOK, map[string]any{"items": items, "has_more": more, "at": rev}
 }
 
 // serveWatch responds as soon as there are events after the given revision, and without
--- a/standin/metastore/metastore.go
+++ b/standin/metastore/metastore.go
@@ -36,6 +36,8 @@
 	LoseWrites bool
 	// StallWatches prevents changes from waking open watches.
 	StallWatches bool
+	// Stale is the state that stale ranges show; nil means the newest.
+	Stale *Snapshot
 }
 
 // Calls counts calls by operation; those with a stale read are counted under "stale "
@@ -199,9 +201,11 @@
 
 // withPrefix returns the items whose keys have a prefix, sorted by key. The caller holds
 // the lock.
-func (s *Store) withPrefix(prefix string) []Item {
+func (s *Store) withPrefix(prefix string) []Item { return withPrefix(s.items, prefix) }
+
+func withPrefix(all map[string]Item, prefix string) []Item {
 	var items []Item
-	for key, item := range s.items {
+	for key, item := range all {
 		if strings.HasPrefix(key, prefix) {
 			items = append(items, item)
 		}
