assembler: a test that the record of a former process is no member

The directory gets the records of a node's former processes since 'a new process takes the drain from its former one's entry'. Nothing checked that they are not stored; one with a later start (a clock set back) would replace the node's own record. No fault; the mutant of it fails the test.

--- a/internal/proxy/assembler/directory_test.go
+++ b/internal/proxy/assembler/directory_test.go
@@ -54,6 +54,20 @@
 	})
 }
 
+// Guards against a node that loses its own upstream to the record of its former process, which
+// started at a later time of day because the clock was set back. Only the drain in it counts.
+func TestFormerProcessIsNoMember(t *testing.T) {
+	Convey("The entry of a former process says that the upstream drains", t, func() {
+		p := newProxy()
+		defer p.Close()
+		former := p.Self()
+		former.Start, former.Instance, former.Born, former.DrainStart = former.Start+1, "i", 5, 7
+		So(p.UpdateMember(former), ShouldBeFalse)
+		So(p.Members(), ShouldResemble, []balancer.Member{p.Self()})
+		So(p.DrainingSince("i", 5), ShouldEqual, 7)
+	})
+}
+
 // The listeners keep their addresses when the settings change. Other nodes would forward to
 // addresses at which nobody listens, and the upstream could not report that it drains.
 func TestReloadKeepsAddressesInUse(t *testing.T) {
