subscriber: a reply without a version does not confirm the position of a newer one

What an operator would see: a version is missing at a node that takes over from its relay, until the next one. Cause: a relay decided that it has no newer version and then, under another lock, read the position, which was that of a version that came into force in between; the requester took its own version for the newest up to there. The same if the version could not be encoded.

Version and position are taken together now.

--- a/internal/proxy/subscriber/exchange.go
+++ b/internal/proxy/subscriber/exchange.go
@@ -66,27 +66,37 @@
 		s.mu.Lock()
 		changed := s.changed
 		s.mu.Unlock()
-		if s.Version() > have {
-			return s.newerReply(have)
-		}
-		if s.subscribed() != subscribed {
-			return s.unchangedReply()
+		if s.Version() > have || s.subscribed() != subscribed {
+			return s.reply(have)
 		}
 		select {
 		case <-ctx.Done():
-			return s.unchangedReply()
+			return s.reply(have)
 		case <-changed:
 		}
 	}
 }
 
-// unchangedReply returns a reply that states that there is no newer version.
-func (s *Subscriber) unchangedReply() forwarder.ConfigurationReply {
+// reply returns a reply to a node that holds version have: the version in force if that is
+// newer, or that there is none. Version and position are taken together, since the position of a
+// newer version would confirm the node's own. If the version can't be encoded, the reply
+// confirms nothing.
+func (s *Subscriber) reply(have int64) forwarder.ConfigurationReply {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return forwarder.ConfigurationReply{
+	reply := forwarder.ConfigurationReply{
 		Subscribed: s.subscribedLocked(), Revision: forwarder.Pack(s.confirmedPositionLocked()),
 	}
+	if s.Version() <= have {
+		return reply
+	}
+	message, err := s.history.Encode(have)
+	if err != nil {
+		s.config.Observe.Unusable("encoder", err)
+		reply.Revision = 0
+	}
+	reply.Message = message
+	return reply
 }
 
 // confirmedPositionLocked returns the position up to which the version in force is the
@@ -97,17 +107,3 @@
 	}
 	return s.position
 }
-
-// newerReply returns a reply with the version in force for a node that holds version
-// have. If it can't be encoded, the version of the reply is 0.
-func (s *Subscriber) newerReply(have int64) forwarder.ConfigurationReply {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	message, err := s.history.Encode(have)
-	if err != nil {
-		s.config.Observe.Unusable("encoder", err)
-	}
-	return forwarder.ConfigurationReply{
-		Message: message, Subscribed: s.subscribedLocked(), Revision: forwarder.Pack(s.confirmedPositionLocked()),
-	}
-}
