subscriber: a history that is lost again at once is not read again without a pause

What an operator would see: a node that calls the store 1,000 times a second (round trip of 1 ms), against a common limit of 400 to 3,200 writes and 2,000 to 16,000 reads a second: while there is no configuration and the history is compacted, or if responses state no era after some did. Cause: a lost history is answered by reading all without a delay, whatever came of the last time. Found in review.

--- a/internal/proxy/subscriber/subscriber.go
+++ b/internal/proxy/subscriber/subscriber.go
@@ -231,6 +231,7 @@
 	// followed the store until the last call failed, so that they did not serve it before
 	// either, or it has to read the whole configuration.
 	hasTurn := false
+	lastLost := time.Time{}
 	for pauser.Pause(ctx, delay) {
 		delay = rolePollInterval
 		if !s.needsStore() {
@@ -248,7 +249,8 @@
 			return
 		case errors.As(err, &lost):
 			s.forgetPosition(lost.Era)
-			delay, hasTurn = 0, true
+			delay, hasTurn = lostHistoryDelay(time.Since(lastLost)), true
+			lastLost = time.Now()
 		case err != nil:
 			delay = storeRetryBackoff
 			hasTurn = s.setWatchingStore(false)
@@ -259,6 +261,15 @@
 	}
 }
 
+// lostHistoryDelay returns the delay before the whole configuration is read since the history
+// was lost: none, unless that was the case before within storeRetryBackoff already.
+func lostHistoryDelay(sinceLast time.Duration) time.Duration {
+	if sinceLast < storeRetryBackoff {
+		return storeRetryBackoff
+	}
+	return 0
+}
+
 // setWatchingStore sets whether the node watches the store and returns the previous
 // value.
 func (s *Subscriber) setWatchingStore(watching bool) bool {
