subscriber: a node that follows the store asks another node for a newer version now and then

Cause: a node that follows the store takes what it holds for the newest and asks nobody else.

Now a node that follows the store (one or two of a zone) asks a random other node each 5 s, with its own version, so that the reply is empty unless there is a newer one.

--- a/internal/proxy/subscriber/relays.go
+++ b/internal/proxy/subscriber/relays.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/tamarackscale/tamarackscale/internal/kernel/pauser"
@@ -160,3 +161,20 @@
 		}
 	}
 }
+
+// checkPeers requests a newer version from some other node, each peerCheckInterval, while the node
+// follows the store: the store may hold an older version than the others have in force, if it has
+// come back from an older copy.
+func (s *Subscriber) checkPeers(ctx context.Context) {
+	random := rand.New(rand.NewPCG(s.config.Seed, 0))
+	for pauser.Pause(ctx, peerCheckInterval) {
+		peers := s.config.Peers()
+		if !s.watchingStore.Load() || len(peers) == 0 {
+			continue
+		}
+		peer := Relay{Address: peers[random.IntN(len(peers))]}
+		if reply, err := s.request(ctx, peer, 0); err == nil {
+			s.applyReply(ctx, peer, reply, "peer")
+		}
+	}
+}
--- a/internal/proxy/subscriber/subscriber.go
+++ b/internal/proxy/subscriber/subscriber.go
@@ -51,6 +51,9 @@
 	// peerPollInterval is the interval between requests to other nodes, and the backoff
 	// after a relay failed to reply or receives no changes itself.
 	peerPollInterval = 250 * time.Millisecond
+	// peerCheckInterval is the interval between requests to other nodes of a node that follows
+	// the store.
+	peerCheckInterval = 5 * time.Second
 	// relayCount is the number of relays of an availability zone.
 	relayCount = 2
 	// relayPollTimeout is how long a relay may hold a request until it has a newer
@@ -102,7 +105,7 @@
 	// Discovered is closed once the node has tried to discover the others.
 	Discovered <-chan struct{}
 	// Seed differs between processes, so that their traffic splits do not all begin with the
-	// same backend.
+	// same backend and they check different peers.
 	Seed uint64
 	// FirstStart reports that the whole system starts for the first time.
 	FirstStart bool
@@ -220,6 +223,7 @@
 		return
 	}
 	go s.pollPeers(ctx)
+	go s.checkPeers(ctx)
 	go s.followHints(ctx)
 	for i := range relayCount {
 		go s.pollRelay(ctx, i)
