--- a/internal/proxy/subscriber/relays.go
+++ b/internal/proxy/subscriber/relays.go
@@ -172,9 +172,6 @@
 		if !s.watchingStore.Load() || len(peers) == 0 {
 			continue
 		}
-		peer := Relay{Address: peers[random.IntN(len(peers))]}
-		if reply, err := s.request(ctx, peer, 0); err == nil {
-			s.applyReply(ctx, peer, reply, "peer")
-		}
+		s.consult(ctx, Relay{Address: peers[random.IntN(len(peers))]})
 	}
 }
--- a/internal/proxy/subscriber/startup.go
+++ b/internal/proxy/subscriber/startup.go
@@ -16,8 +16,10 @@
 	// startupPollInterval is the interval between checks of whether a relay has replied.
 	startupPollInterval = 50 * time.Millisecond
 	// consultedPeers is the number of other nodes from which a starting node without a version
-	// requests one, and consultTimeout how long that may take in all.
+	// requests one, consultDelay how long it waits for one reply before it asks the next node,
+	// and consultTimeout how long all may take.
 	consultedPeers = 3
+	consultDelay   = 150 * time.Millisecond
 	consultTimeout = 700 * time.Millisecond
 )
 
@@ -59,21 +61,40 @@
 	return true
 }
 
-// consultPeers requests a version from other nodes one after the other, unless the node has
-// one or no node can have one. The first that has a version sends it as a whole, the next ones
-// only what has changed since.
+// consultPeers requests a version from other nodes, unless the node has one or no node can have
+// one. The next node is asked when the one before has replied, or does not reply for a while. The
+// first that has a version sends it as a whole, those asked later only what has changed since.
 func (s *Subscriber) consultPeers(ctx context.Context) {
 	if s.config.FirstStart || s.Version() > 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, consultTimeout)
 	defer cancel()
-	for _, address := range spread(s.config.Peers(), consultedPeers) {
-		peer := Relay{Address: address}
-		if reply, err := s.request(ctx, peer, 0); err == nil {
-			s.applyReply(ctx, peer, reply, "peer")
+	peers := spread(s.config.Peers(), consultedPeers)
+	replied := make(chan struct{}, len(peers))
+	pending := 0
+	for _, address := range peers {
+		pending++
+		go func() {
+			s.consult(ctx, Relay{Address: address})
+			replied <- struct{}{}
+		}()
+		select {
+		case <-replied:
+			pending--
+		case <-time.After(consultDelay):
 		}
 	}
+	for ; pending > 0 && s.Version() == 0; pending-- {
+		<-replied
+	}
+}
+
+// consult requests a newer version from a node.
+func (s *Subscriber) consult(ctx context.Context, peer Relay) {
+	if reply, err := s.request(ctx, peer, 0); err == nil {
+		s.applyReply(ctx, peer, reply, "peer")
+	}
 }
 
 // spread returns up to n addresses from all parts of a list. Its first ones are of the node's
