acceptor: a connection is read once more before it is closed as idle

What callers would see: a reset some tens of milliseconds after they sent a request, if the process was stalled at that moment (little processor time). The read of a connection that is to be closed began after its deadline and so failed without looking. Found in review. Now a retired connection is read for 0.25 s instead of 0.01, and once more after the deadline if the reading goroutine had not set that itself; the same after the idle timeout.

--- a/internal/proxy/acceptor/state.go
+++ b/internal/proxy/acceptor/state.go
@@ -16,16 +16,18 @@
 	pending int
 	// lastResponse is when the last response was written, or when the connection was accepted.
 	lastResponse time.Time
-	// retired is set when the connection is to be closed as soon as it is idle.
-	retired bool
+	// retired is set when the connection is to be closed as soon as it is idle, lastLook when the
+	// reading goroutine waits for the last time before that.
+	retired  bool
+	lastLook bool
 	// ended is set when the last response is being written or the writing of one has failed.
 	// No call is accepted and no response written after that.
 	ended bool
 }
 
-// retireDelay is how long a retired connection is still read. A passed deadline would make the
-// read fail although a request has arrived that the process had no time to read.
-const retireDelay = 10 * time.Millisecond
+// retireDelay is how long a retired connection is still read. A read that begins after its
+// deadline fails although a request has arrived that the process had no time to read.
+const retireDelay = 250 * time.Millisecond
 
 // deadline returns the end of a timeout that begins at start; the zero time, which is no
 // deadline, if the timeout is not positive.
@@ -48,7 +50,7 @@
 }
 
 // arm sets the read deadline for the wait for the next request. A caller that waits for a
-// response is not idle.
+// response is not idle. The reading goroutine calls it before each wait.
 func (s *state) arm(conn net.Conn, idleTimeout time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -57,13 +59,14 @@
 		_ = conn.SetReadDeadline(deadline(time.Now(), idleTimeout))
 	case s.ended || s.retired:
 		s.armEndLocked(conn)
+		s.lastLook = true
 	default:
 		_ = conn.SetReadDeadline(deadline(s.lastResponse, idleTimeout))
 	}
 }
 
-// armEndLocked sets the read deadline of a connection that gets no further response. The
-// caller holds s.mu.
+// armEndLocked sets the read deadline of a connection that is to be closed: lingerTime after its
+// last response, or retireDelay from now if it is only retired. The caller holds s.mu.
 func (s *state) armEndLocked(conn net.Conn) {
 	if s.ended {
 		_ = conn.SetReadDeadline(s.lastResponse.Add(lingerTime))
@@ -72,14 +75,20 @@
 	_ = conn.SetReadDeadline(time.Now().Add(retireDelay))
 }
 
-// expired reports whether a wait that has timed out was the last one.
+// expired reports whether a wait that has timed out was the last one. A retired connection and
+// one that was idle for too long are read once more: the process may have been stalled until the
+// deadline had passed, and not have looked at a request that has arrived.
 func (s *state) expired(idleTimeout time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.pending > 0 {
 		return false
 	}
-	return s.ended || s.retired || time.Since(s.lastResponse) >= idleTimeout
+	if s.ended {
+		return true
+	}
+	s.retired = s.retired || time.Since(s.lastResponse) >= idleTimeout
+	return s.retired && s.lastLook
 }
 
 // beginRead records that the first byte of a request was read.
--- a/internal/proxy/subscriber/position_test.go
+++ b/internal/proxy/subscriber/position_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -91,6 +92,7 @@
 		pause, cancel := context.WithTimeout(ctx, wait)
 		defer cancel()
 		<-pause.Done()
+		err = ctx.Err()
 	}
 	return events, err
 }
@@ -145,3 +147,50 @@
 		})
 	}
 }
+
+// A node that is no relay finds the store in a new era. It must read the version at once: it has
+// waited for its relays already, and the version there may be the one that all miss.
+func TestLostHistoryIsReadWithoutWaitingForRelays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("A node at position 12 of its zone, whose relays receive no changes", t, func() {
+			var lost, read time.Time
+			s := newRelease(9)
+			s.config.Store = &strictStore{
+				read: func() (keeper.Item, keeper.Position, error) {
+					read = time.Now()
+					return keeper.Item{Value: []byte("4")}, keeper.Position{Era: 2, Revision: 7}, nil
+				},
+				watch: func(after keeper.Position) (keeper.Events, error) {
+					if after.Era == 1 {
+						lost = time.Now()
+						return keeper.Events{}, &keeper.HistoryLostError{After: after, Era: 2}
+					}
+					return keeper.Events{Position: after}, nil
+				},
+			}
+			s.config.Relays = func() []Relay {
+				var relays []Relay
+				for i := range 20 {
+					relays = append(relays, Relay{Address: fmt.Sprintf("node-%d", i)})
+				}
+				return relays
+			}
+			s.config.OwnAddress = "node-12"
+			s.config.Peers = func() []string { return nil }
+			s.config.Request = func(context.Context, string, forwarder.ConfigurationArgs) (forwarder.ConfigurationReply, error) {
+				return forwarder.ConfigurationReply{}, nil
+			}
+			discovered := make(chan struct{})
+			close(discovered)
+			s.config.Discovered = discovered
+			s.apply([]byte("3"), "relay", keeper.Position{Era: 1, Revision: 9})
+			ctx, cancel := context.WithCancel(context.Background())
+			go s.Run(ctx)
+			time.Sleep(10 * time.Second)
+			cancel()
+			time.Sleep(time.Minute)
+			So(read.Sub(lost), ShouldBeBetween, 0, minTakeoverDelay)
+			So(s.Version(), ShouldEqual, 4)
+		})
+	})
+}
