forwarder: a closed forwarder opens no connection

What an operator would see: nothing; a call after Close (a query for a drain that began before) opened a connection that nothing closed. Found in review.

--- a/internal/proxy/forwarder/forwarder.go
+++ b/internal/proxy/forwarder/forwarder.go
@@ -12,6 +12,7 @@
 	"context"
 	"fmt"
 	"hash/fnv"
+	"net"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -49,6 +50,8 @@
 
 	mu    sync.Mutex
 	peers map[string]*peer
+	// closed is set by Close. No connection is opened after that.
+	closed bool
 }
 
 // New returns a forwarder for the process of node that started at start, in Unix
@@ -86,12 +89,23 @@
 	defer f.mu.Unlock()
 	p := f.peers[address]
 	if p == nil {
-		p = &peer{address: address, dialFunc: f.dial, onUnresponsive: f.notifyUnresponsive}
+		p = &peer{address: address, dialFunc: f.open, onUnresponsive: f.notifyUnresponsive}
 		f.peers[address] = p
 	}
 	return p
 }
 
+// open opens a connection, unless the forwarder is closed.
+func (f *Forwarder) open(ctx context.Context, address string) (net.Conn, error) {
+	f.mu.Lock()
+	closed := f.closed
+	f.mu.Unlock()
+	if closed {
+		return nil, net.ErrClosed
+	}
+	return f.dial(ctx, address)
+}
+
 // Forget closes the connection to an address at which there is no member any more.
 func (f *Forwarder) Forget(address string) {
 	f.mu.Lock()
@@ -107,6 +121,7 @@
 func (f *Forwarder) Close() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.closed = true
 	for _, p := range f.peers {
 		p.close()
 	}
