unpacker: arrays between nodes are allocated as their elements arrive

A message of a few bytes from another node, malformed or hostile, could make a node allocate an array of any declared length before the first element arrived, and so end the process on a small VM.

Cause: the generated code allocates the declared length.

Ruled out: limits by directives or tags of the generator. The sizes of a header (settings of the operator) and of a patch have no bound that the types could state, and a limit in the file would also hold for byte strings. So the four messages that hold slices (fields of calls and of answers, steps of patches, members) decode them with package unpacker, which allocates at most 16 elements on the declaration alone and the rest as elements arrive. Any message that was accepted before still is.

That only its own connection ends (TestArrayWithoutContentEndsOnlyItsConnection) held before too.

--- a/internal/proxy/carrier/carrier.go
+++ b/internal/proxy/carrier/carrier.go
@@ -3,11 +3,18 @@
 // use on the wire.
 package carrier
 
-import "time"
+import (
+	"time"
+
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/tamarackscale/tamarackscale/internal/proxy/unpacker"
+)
 
 //go:generate go tool msgp -tests=false -marshal=false -o carrier_gen.go
 
 //msgp:tuple Field Call Answer Result
+//msgp:ignore Fields
 
 // Field is one end-to-end header field.
 type Field struct {
@@ -15,6 +22,21 @@
 	Value string
 }
 
+// Fields is a list of header fields.
+type Fields []Field
+
+// DecodeMsg implements msgp.Decodable.
+func (f *Fields) DecodeMsg(reader *msgp.Reader) (err error) {
+	*f, err = unpacker.DecodeArray(reader, *f)
+	return err
+}
+
+// EncodeMsg implements msgp.Encodable.
+func (f Fields) EncodeMsg(writer *msgp.Writer) error { return unpacker.EncodeArray(writer, f) }
+
+// Msgsize implements msgp.Sizer.
+func (f Fields) Msgsize() int { return unpacker.Size(f) }
+
 // Call is one request of a caller. Its body is complete: a call is forwarded only
 // after its last byte was read.
 type Call struct {
@@ -27,7 +49,7 @@
 	Host   string
 	// Fields holds the header fields without hop-by-hop fields and without those
 	// that the system sets itself.
-	Fields []Field
+	Fields Fields
 	Body   []byte
 	// Timeout is how long the caller waits; zero if it did not specify a timeout.
 	Timeout time.Duration
@@ -39,7 +61,7 @@
 // Answer is a complete answer of an upstream.
 type Answer struct {
 	Status int
-	Fields []Field
+	Fields Fields
 	Body   []byte
 }
 
--- a/internal/proxy/carrier/carrier_gen.go
+++ b/internal/proxy/carrier/carrier_gen.go
@@ -23,39 +23,11 @@
 		err = msgp.WrapError(err, "Status")
 		return
 	}
-	var zb0002 uint32
-	zb0002, err = dc.ReadArrayHeader()
+	err = z.Fields.DecodeMsg(dc)
 	if err != nil {
 		err = msgp.WrapError(err, "Fields")
 		return
 	}
-	if cap(z.Fields) >= int(zb0002) {
-		z.Fields = (z.Fields)[:zb0002]
-	} else {
-		z.Fields = make([]Field, zb0002)
-	}
-	for za0001 := range z.Fields {
-		var zb0003 uint32
-		zb0003, err = dc.ReadArrayHeader()
-		if err != nil {
-			err = msgp.WrapError(err, "Fields", za0001)
-			return
-		}
-		if zb0003 != 2 {
-			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
-			return
-		}
-		z.Fields[za0001].Name, err = dc.ReadString()
-		if err != nil {
-			err = msgp.WrapError(err, "Fields", za0001, "Name")
-			return
-		}
-		z.Fields[za0001].Value, err = dc.ReadString()
-		if err != nil {
-			err = msgp.WrapError(err, "Fields", za0001, "Value")
-			return
-		}
-	}
 	z.Body, err = dc.ReadBytes(z.Body)
 	if err != nil {
 		err = msgp.WrapError(err, "Body")
@@ -76,28 +48,11 @@
 		err = msgp.WrapError(err, "Status")
 		return
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Fields)))
+	err = z.Fields.EncodeMsg(en)
 	if err != nil {
 		err = msgp.WrapError(err, "Fields")
 		return
 	}
-	for za0001 := range z.Fields {
-		// array header, size 2
-		err = en.Append(0x92)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.Fields[za0001].Name)
-		if err != nil {
-			err = msgp.WrapError(err, "Fields", za0001, "Name")
-			return
-		}
-		err = en.WriteString(z.Fields[za0001].Value)
-		if err != nil {
-			err = msgp.WrapError(err, "Fields", za0001, "Value")
-			return
-		}
-	}
 	err = en.WriteBytes(z.Body)
 	if err != nil {
 		err = msgp.WrapError(err, "Body")
@@ -108,11 +63,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Answer) Msgsize() (s int) {
-	s = 1 + msgp.IntSize + msgp.ArrayHeaderSize
-	for za0001 := range z.Fields {
-		s += 1 + msgp.StringPrefixSize + len(z.Fields[za0001].Name) + msgp.StringPrefixSize + len(z.Fields[za0001].Value)
-	}
-	s += msgp.BytesPrefixSize + len(z.Body)
+	s = 1 + msgp.IntSize + z.Fields.Msgsize() + msgp.BytesPrefixSize + len(z.Body)
 	return
 }
 
@@ -148,39 +99,11 @@
 		err = msgp.WrapError(err, "Host")
 		return
 	}
-	var zb0002 uint32
-	zb0002, err = dc.ReadArrayHeader()
+	err = z.Fields.DecodeMsg(dc)
 	if err != nil {
 		err = msgp.WrapError(err, "Fields")
 		return
 	}
-	if cap(z.Fields) >= int(zb0002) {
-		z.Fields = (z.Fields)[:zb0002]
-	} else {
-		z.Fields = make([]Field, zb0002)
-	}
-	for za0001 := range z.Fields {
-		var zb0003 uint32
-		zb0003, err = dc.ReadArrayHeader()
-		if err != nil {
-			err = msgp.WrapError(err, "Fields", za0001)
-			return
-		}
-		if zb0003 != 2 {
-			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
-			return
-		}
-		z.Fields[za0001].Name, err = dc.ReadString()
-		if err != nil {
-			err = msgp.WrapError(err, "Fields", za0001, "Name")
-			return
-		}
-		z.Fields[za0001].Value, err = dc.ReadString()
-		if err != nil {
-			err = msgp.WrapError(err, "Fields", za0001, "Value")
-			return
-		}
-	}
 	z.Body, err = dc.ReadBytes(z.Body)
 	if err != nil {
 		err = msgp.WrapError(err, "Body")
@@ -226,28 +149,11 @@
 		err = msgp.WrapError(err, "Host")
 		return
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Fields)))
+	err = z.Fields.EncodeMsg(en)
 	if err != nil {
 		err = msgp.WrapError(err, "Fields")
 		return
 	}
-	for za0001 := range z.Fields {
-		// array header, size 2
-		err = en.Append(0x92)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.Fields[za0001].Name)
-		if err != nil {
-			err = msgp.WrapError(err, "Fields", za0001, "Name")
-			return
-		}
-		err = en.WriteString(z.Fields[za0001].Value)
-		if err != nil {
-			err = msgp.WrapError(err, "Fields", za0001, "Value")
-			return
-		}
-	}
 	err = en.WriteBytes(z.Body)
 	if err != nil {
 		err = msgp.WrapError(err, "Body")
@@ -268,11 +174,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Call) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.ID) + msgp.StringPrefixSize + len(z.Method) + msgp.StringPrefixSize + len(z.Target) + msgp.StringPrefixSize + len(z.Host) + msgp.ArrayHeaderSize
-	for za0001 := range z.Fields {
-		s += 1 + msgp.StringPrefixSize + len(z.Fields[za0001].Name) + msgp.StringPrefixSize + len(z.Fields[za0001].Value)
-	}
-	s += msgp.BytesPrefixSize + len(z.Body) + msgp.DurationSize + msgp.StringPrefixSize + len(z.Parent)
+	s = 1 + msgp.StringPrefixSize + len(z.ID) + msgp.StringPrefixSize + len(z.Method) + msgp.StringPrefixSize + len(z.Target) + msgp.StringPrefixSize + len(z.Host) + z.Fields.Msgsize() + msgp.BytesPrefixSize + len(z.Body) + msgp.DurationSize + msgp.StringPrefixSize + len(z.Parent)
 	return
 }
 
@@ -417,11 +319,31 @@
 		}
 		z.Reason = Reason(zb0003)
 	}
-	err = z.Answer.DecodeMsg(dc)
+	var zb0004 uint32
+	zb0004, err = dc.ReadArrayHeader()
 	if err != nil {
 		err = msgp.WrapError(err, "Answer")
 		return
 	}
+	if zb0004 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0004}
+		return
+	}
+	z.Answer.Status, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "Answer", "Status")
+		return
+	}
+	err = z.Answer.Fields.DecodeMsg(dc)
+	if err != nil {
+		err = msgp.WrapError(err, "Answer", "Fields")
+		return
+	}
+	z.Answer.Body, err = dc.ReadBytes(z.Answer.Body)
+	if err != nil {
+		err = msgp.WrapError(err, "Answer", "Body")
+		return
+	}
 	z.Wait, err = dc.ReadDuration()
 	if err != nil {
 		err = msgp.WrapError(err, "Wait")
@@ -452,9 +374,24 @@
 		err = msgp.WrapError(err, "Reason")
 		return
 	}
-	err = z.Answer.EncodeMsg(en)
+	// array header, size 3
+	err = en.Append(0x93)
 	if err != nil {
-		err = msgp.WrapError(err, "Answer")
+		return
+	}
+	err = en.WriteInt(z.Answer.Status)
+	if err != nil {
+		err = msgp.WrapError(err, "Answer", "Status")
+		return
+	}
+	err = z.Answer.Fields.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "Answer", "Fields")
+		return
+	}
+	err = en.WriteBytes(z.Answer.Body)
+	if err != nil {
+		err = msgp.WrapError(err, "Answer", "Body")
 		return
 	}
 	err = en.WriteDuration(z.Wait)
@@ -472,6 +409,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Result) Msgsize() (s int) {
-	s = 1 + msgp.Uint8Size + msgp.StringPrefixSize + len(string(z.Reason)) + z.Answer.Msgsize() + msgp.DurationSize + msgp.BoolSize
+	s = 1 + msgp.Uint8Size + msgp.StringPrefixSize + len(string(z.Reason)) + 1 + msgp.IntSize + z.Answer.Fields.Msgsize() + msgp.BytesPrefixSize + len(z.Answer.Body) + msgp.DurationSize + msgp.BoolSize
 	return
 }
--- a/internal/proxy/coder/coder.go
+++ b/internal/proxy/coder/coder.go
@@ -18,7 +18,8 @@
 const bufferBytes = 2 << 10
 
 // Limits of what one value of a message may declare. A value beyond them fails the
-// connection before its memory is allocated.
+// connection before its memory is allocated. Arrays need none: package unpacker
+// allocates them as their elements arrive.
 const (
 	// maxValueBytes bounds a byte string. It exceeds the limits of bodies of requests and
 	// answers, and the size of an encoded configuration.
--- a/internal/proxy/coder/coder_test.go
+++ b/internal/proxy/coder/coder_test.go
@@ -108,6 +108,31 @@
 	}
 }
 
+// The body of a call declares an array of 16 million elements, and bytes that are none follow.
+func TestArrayWithoutContentEndsOnlyItsConnection(t *testing.T) {
+	Convey("A server with two connections", t, func() {
+		server := rpc.NewServer()
+		So(server.RegisterName("Echo", echo{}), ShouldBeNil)
+		near, far := net.Pipe()
+		otherNear, otherFar := net.Pipe()
+		done := make(chan struct{})
+		go func() {
+			server.ServeCodec(NewServerCodec(far, &atomic.Int64{}))
+			close(done)
+		}()
+		go server.ServeCodec(NewServerCodec(otherFar, &atomic.Int64{}))
+		other := rpc.NewClientWithCodec(NewClientCodec(otherNear))
+		defer func() { _ = other.Close() }()
+		go func() { _, _ = io.Copy(io.Discard, near) }()
+		go func() {
+			_, _ = near.Write([]byte("\xa8Echo.Job\x01\xa0\x9a\x98\xa0\xa0\xa0\xa0\xdd\x00\xf4\x24\x00\xc1"))
+		}()
+		<-done
+		So(near.Close(), ShouldBeNil)
+		So(other.Call("Echo.Load", &balancer.Load{}, &balancer.Load{}), ShouldBeNil)
+	})
+}
+
 // The body of a call is malformed and holds the bytes of another call. That must not run.
 func TestCallInsideMalformedBodyIsNotRun(t *testing.T) {
 	Convey("A server ends the connection after a malformed body", t, func() {
--- a/internal/proxy/encoder/message.go
+++ b/internal/proxy/encoder/message.go
@@ -1,8 +1,15 @@
 package encoder
 
+import (
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/tamarackscale/tamarackscale/internal/proxy/unpacker"
+)
+
 //go:generate go tool msgp -tests=false -marshal=false -o message_gen.go
 
 //msgp:tuple Step Message
+//msgp:ignore Steps
 
 // Step is one step of a patch. It appends either a range of the base or new bytes.
 type Step struct {
@@ -13,13 +20,28 @@
 	Literal []byte
 }
 
+// Steps is a whole patch.
+type Steps []Step
+
+// DecodeMsg implements msgp.Decodable.
+func (s *Steps) DecodeMsg(reader *msgp.Reader) (err error) {
+	*s, err = unpacker.DecodeArray(reader, *s)
+	return err
+}
+
+// EncodeMsg implements msgp.Encodable.
+func (s Steps) EncodeMsg(writer *msgp.Writer) error { return unpacker.EncodeArray(writer, s) }
+
+// Msgsize implements msgp.Sizer.
+func (s Steps) Msgsize() int { return unpacker.Size(s) }
+
 // Message is one encoded version, either as a patch (Base and Steps) or as the whole
 // configuration (Compressed).
 type Message struct {
 	Version int64
 	// Base is the version to which Steps apply.
 	Base  int64
-	Steps []Step
+	Steps Steps
 	// Compressed is the whole configuration, compressed with DEFLATE; nil in a patch.
 	Compressed []byte
 	// Checksum is the CRC-32 (IEEE) of the whole configuration.
--- a/internal/proxy/encoder/message_gen.go
+++ b/internal/proxy/encoder/message_gen.go
@@ -28,44 +28,11 @@
 		err = msgp.WrapError(err, "Base")
 		return
 	}
-	var zb0002 uint32
-	zb0002, err = dc.ReadArrayHeader()
+	err = z.Steps.DecodeMsg(dc)
 	if err != nil {
 		err = msgp.WrapError(err, "Steps")
 		return
 	}
-	if cap(z.Steps) >= int(zb0002) {
-		z.Steps = (z.Steps)[:zb0002]
-	} else {
-		z.Steps = make([]Step, zb0002)
-	}
-	for za0001 := range z.Steps {
-		var zb0003 uint32
-		zb0003, err = dc.ReadArrayHeader()
-		if err != nil {
-			err = msgp.WrapError(err, "Steps", za0001)
-			return
-		}
-		if zb0003 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
-			return
-		}
-		z.Steps[za0001].Offset, err = dc.ReadInt()
-		if err != nil {
-			err = msgp.WrapError(err, "Steps", za0001, "Offset")
-			return
-		}
-		z.Steps[za0001].Length, err = dc.ReadInt()
-		if err != nil {
-			err = msgp.WrapError(err, "Steps", za0001, "Length")
-			return
-		}
-		z.Steps[za0001].Literal, err = dc.ReadBytes(z.Steps[za0001].Literal)
-		if err != nil {
-			err = msgp.WrapError(err, "Steps", za0001, "Literal")
-			return
-		}
-	}
 	z.Compressed, err = dc.ReadBytes(z.Compressed)
 	if err != nil {
 		err = msgp.WrapError(err, "Compressed")
@@ -96,33 +63,11 @@
 		err = msgp.WrapError(err, "Base")
 		return
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Steps)))
+	err = z.Steps.EncodeMsg(en)
 	if err != nil {
 		err = msgp.WrapError(err, "Steps")
 		return
 	}
-	for za0001 := range z.Steps {
-		// array header, size 3
-		err = en.Append(0x93)
-		if err != nil {
-			return
-		}
-		err = en.WriteInt(z.Steps[za0001].Offset)
-		if err != nil {
-			err = msgp.WrapError(err, "Steps", za0001, "Offset")
-			return
-		}
-		err = en.WriteInt(z.Steps[za0001].Length)
-		if err != nil {
-			err = msgp.WrapError(err, "Steps", za0001, "Length")
-			return
-		}
-		err = en.WriteBytes(z.Steps[za0001].Literal)
-		if err != nil {
-			err = msgp.WrapError(err, "Steps", za0001, "Literal")
-			return
-		}
-	}
 	err = en.WriteBytes(z.Compressed)
 	if err != nil {
 		err = msgp.WrapError(err, "Compressed")
@@ -138,11 +83,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Message) Msgsize() (s int) {
-	s = 1 + msgp.Int64Size + msgp.Int64Size + msgp.ArrayHeaderSize
-	for za0001 := range z.Steps {
-		s += 1 + msgp.IntSize + msgp.IntSize + msgp.BytesPrefixSize + len(z.Steps[za0001].Literal)
-	}
-	s += msgp.BytesPrefixSize + len(z.Compressed) + msgp.Uint32Size
+	s = 1 + msgp.Int64Size + msgp.Int64Size + z.Steps.Msgsize() + msgp.BytesPrefixSize + len(z.Compressed) + msgp.Uint32Size
 	return
 }
 
--- a/internal/proxy/forwarder/messages.go
+++ b/internal/proxy/forwarder/messages.go
@@ -3,12 +3,15 @@
 import (
 	"time"
 
+	"github.com/tinylib/msgp/msgp"
+
 	"github.com/tamarackscale/tamarackscale/internal/platform/keeper"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/balancer"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/encoder"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/executor"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/fencer"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/unpacker"
 )
 
 // serviceName is the name under which a node registers its methods with net/rpc.
@@ -17,6 +20,7 @@
 //go:generate go tool msgp -tests=false -marshal=false -o messages_gen.go
 
 //msgp:tuple RunArgs RunReply CancelArgs Empty DrainStartArgs DrainStartReply ConfigurationArgs ConfigurationReply
+//msgp:ignore MemberList
 
 // RunArgs forwards an attempt to the node of the VM on which the upstream runs.
 type RunArgs struct {
@@ -60,6 +64,18 @@
 // MemberList holds the records of members.
 type MemberList []balancer.Member
 
+// DecodeMsg implements msgp.Decodable.
+func (m *MemberList) DecodeMsg(reader *msgp.Reader) (err error) {
+	*m, err = unpacker.DecodeArray(reader, *m)
+	return err
+}
+
+// EncodeMsg implements msgp.Encodable.
+func (m MemberList) EncodeMsg(writer *msgp.Writer) error { return unpacker.EncodeArray(writer, m) }
+
+// Msgsize implements msgp.Sizer.
+func (m MemberList) Msgsize() int { return unpacker.Size(m) }
+
 // ConfigurationArgs requests a configuration newer than version Have.
 type ConfigurationArgs struct {
 	// Start is the start time of the addressed process, in Unix nanoseconds; zero
--- a/internal/proxy/forwarder/messages_gen.go
+++ b/internal/proxy/forwarder/messages_gen.go
@@ -302,55 +302,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *MemberList) DecodeMsg(dc *msgp.Reader) (err error) {
-	var zb0002 uint32
-	zb0002, err = dc.ReadArrayHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if cap((*z)) >= int(zb0002) {
-		(*z) = (*z)[:zb0002]
-	} else {
-		(*z) = make(MemberList, zb0002)
-	}
-	for zb0001 := range *z {
-		err = (*z)[zb0001].DecodeMsg(dc)
-		if err != nil {
-			err = msgp.WrapError(err, zb0001)
-			return
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z MemberList) EncodeMsg(en *msgp.Writer) (err error) {
-	err = en.WriteArrayHeader(uint32(len(z)))
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0003 := range z {
-		err = z[zb0003].EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, zb0003)
-			return
-		}
-	}
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z MemberList) Msgsize() (s int) {
-	s = msgp.ArrayHeaderSize
-	for zb0003 := range z {
-		s += z[zb0003].Msgsize()
-	}
-	return
-}
-
 // DecodeMsg implements msgp.Decodable
 func (z *RunArgs) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
