--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -73,12 +73,16 @@
 	// other nodes.
 	stopping atomic.Bool
 	draining atomic.Bool
+	// stopStart is when Stop began; nil before.
+	stopStart atomic.Pointer[time.Time]
 	// discovered is set once the finder has read the other nodes' entries or failed to.
 	discovered atomic.Bool
 	// known is closed after the first accepted heartbeat of the upstream.
 	known        chan struct{}
 	knownOnce    sync.Once
 	drainRecords *drainRecords
+	// drainQueried is set once another node has replied to a query for a former drain.
+	drainQueried atomic.Bool
 }
 
 // New builds a proxy; Start runs it. It returns an error if the RPC methods for other
@@ -108,7 +112,7 @@
 	p.dispatcher = dispatcher.New(dispatcher.Config{
 		Node: s.Node.ID, Service: func() string { return p.settings.Load().Upstream.Service },
 		Table: p.subscriber.Table, Forward: p.forwarder, Execute: p.executor, Observe: p.telemetry,
-		Balancer: balancer.New(s.Node.AvailabilityZone),
+		Balancer: balancer.New(s.Node.AvailabilityZone), End: p.callsEnd,
 		Budget: retrier.Budget{
 			Ratio: p.bounds.RetryRatio, Slack: p.bounds.RetrySlack, Window: p.bounds.RetryWindow.Std(),
 		},
--- a/internal/proxy/assembler/directory.go
+++ b/internal/proxy/assembler/directory.go
@@ -33,12 +33,14 @@
 	return m
 }
 
-// UpdateMember updates the record of a member and reports whether it changed. The record
-// of a former node at this node's address is not stored. If the record has a drain start,
-// that is also kept in the drain records, so that the member's next process can query it.
+// UpdateMember updates the record of a member and reports whether it changed. The records
+// of this node's former processes and of a former node at its address are not stored. If the
+// record has a drain start, that is always kept in the drain records, so that the member's next
+// process can query it.
 func (p *Proxy) UpdateMember(m balancer.Member) bool {
 	updated := false
-	if s := p.settings.Load(); m.Node == s.Node.ID || m.Address != s.PeerAddress() {
+	s := p.settings.Load()
+	if own := m.Node == s.Node.ID; (own && m.Start == p.incarnation) || (!own && m.Address != s.PeerAddress()) {
 		p.dispatcher.WithBalancer(func(b *balancer.Balancer) { updated = b.Update(m) })
 	}
 	if m.DrainStart != 0 {
@@ -157,7 +159,7 @@
 			return errors.Newf("heartbeat of instance %q: service %q is unknown in configuration version %d", r.Instance, r.Service, t.Version)
 		}
 	}
-	if p.executor.Upstream().State == tracker.Absent {
+	if !p.drainQueried.Load() || p.executor.Upstream().State == tracker.Absent {
 		p.recoverDrain(tracker.Incarnation{Instance: r.Instance, Born: r.Born})
 	}
 	verdict := p.executor.Heartbeat(r, time.Now())
--- a/internal/proxy/assembler/drains.go
+++ b/internal/proxy/assembler/drains.go
@@ -15,6 +15,13 @@
 	drainReplicas = 3
 	// drainReplicaTimeout bounds the calls to these nodes, all together.
 	drainReplicaTimeout = 150 * time.Millisecond
+	// drainEntryTimeout bounds how long an acknowledgement waits until the entry in the store
+	// has the drain. All these waits together stay below the second within which a heartbeat
+	// has to be acknowledged.
+	drainEntryTimeout = 300 * time.Millisecond
+	// discoveryWait bounds how long the first heartbeats wait for the node to discover the
+	// others.
+	discoveryWait = 500 * time.Millisecond
 	// drainRecordTTL is how long the record of a drain is kept for other nodes after it was
 	// received last.
 	drainRecordTTL = time.Minute
@@ -70,29 +77,50 @@
 	return p.drainRecords.lookup(tracker.Incarnation{Instance: instance, Born: born})
 }
 
-// recoverDrain queries other nodes for a drain of the upstream that the former process
-// of this node acknowledged, and applies it.
+// recoverDrain looks for a drain of the upstream that the former process of this node
+// acknowledged, in that process's entry in the store and at other nodes, and applies it.
 func (p *Proxy) recoverDrain(incarnation tracker.Incarnation) {
+	select {
+	case <-p.finder.Discovered():
+	case <-time.After(discoveryWait):
+	}
+	if p.drainRecords.lookup(incarnation) != 0 {
+		p.applyFormerDrain(incarnation)
+		return
+	}
 	args := forwarder.DrainStartArgs{Instance: incarnation.Instance, Born: incarnation.Born}
-	for _, since := range callDrainReplicas(p, func(ctx context.Context, address string) (int64, error) {
+	replies := callDrainReplicas(p, func(ctx context.Context, address string) (int64, error) {
 		return p.forwarder.QueryDrainStart(ctx, address, args)
-	}) {
+	})
+	p.drainQueried.Store(p.drainQueried.Load() || len(replies) > 0)
+	for _, since := range replies {
 		if since != 0 {
-			p.executor.MarkDraining(incarnation, time.UnixMilli(since), time.Now())
+			p.applyFormerDrain(incarnation)
 			return
 		}
 	}
 }
 
+// applyFormerDrain marks an incarnation as draining. Its drain time counts as over: the clock
+// may have been set back since, so that the recorded start does not tell how much is left.
+func (p *Proxy) applyFormerDrain(incarnation tracker.Incarnation) {
+	now := time.Now()
+	p.executor.MarkDraining(incarnation, now.Add(-p.bounds.DrainTime.Std()), now)
+}
+
 // replicateDrain sends this node's member record, which holds the drain of its upstream,
-// to other nodes. The drain is acknowledged to the upstream afterwards, even if none of
-// them replied.
+// to other nodes, and waits until the entry in the store holds it too, which outlives the loss
+// of all nodes. The drain is acknowledged to the upstream afterwards, even if none of them
+// replied.
 func (p *Proxy) replicateDrain() {
+	ctx, cancel := context.WithTimeout(context.Background(), drainEntryTimeout)
+	defer cancel()
 	self := p.Self()
 	callDrainReplicas(p, func(ctx context.Context, address string) (struct{}, error) {
 		_, err := p.forwarder.Announce(ctx, address, self)
 		return struct{}{}, err
 	})
+	p.finder.AwaitDrain(ctx, self.DrainStart)
 }
 
 // callDrainReplicas calls up to drainReplicas other nodes in parallel and returns the
--- a/internal/proxy/forwarder/receiver_test.go
+++ b/internal/proxy/forwarder/receiver_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"net"
+	"net/rpc"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +16,7 @@
 	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/coder"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/encoder"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/executor"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/fencer"
 )
 
@@ -130,3 +133,68 @@
 		})
 	})
 }
+
+// pingOnly is the RPC service of a node of a version that can't take the attempt.
+type pingOnly struct{}
+
+func (pingOnly) Ping(*Empty, *Empty) error { return nil }
+
+// A node that replies that it can't take an attempt has not run it. The call must go to another
+// node instead of waiting for its deadline.
+func TestAttemptThatNodeCannotTakeHasNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("An attempt at a node of another version", t, func() {
+			server := rpc.NewServer()
+			So(server.RegisterName(serviceName, pingOnly{}), ShouldBeNil)
+			f := New("near", 10, func(context.Context, string) (net.Conn, error) {
+				near, far := net.Pipe()
+				go server.ServeCodec(coder.NewServerCodec(far, &atomic.Int64{}))
+				return near, nil
+			})
+			defer f.Close()
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			start := time.Now()
+			reply := f.Forward(ctx, balancer.Member{Address: "far", Start: 20}, executor.Job{}, false)
+			So(reply.Result, ShouldResemble, carrier.Refuse(carrier.PeerUnreachable))
+			So(time.Since(start), ShouldEqual, 0)
+		})
+	})
+}
+
+// oneConn is a listener that accepts one connection.
+type oneConn struct{ conns chan net.Conn }
+
+func (l oneConn) Accept() (net.Conn, error) {
+	c, open := <-l.conns
+	if !open {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+
+func (oneConn) Close() error   { return nil }
+func (oneConn) Addr() net.Addr { return nil }
+
+// A node that does not read its replies, because it was paused, must not hold up the stop of the
+// node that replies.
+func TestUnreadReplyEndsTheConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("A peer sends a message and does not read", t, func() {
+			r, err := NewReceiver(10, nil, fakeNode{})
+			So(err, ShouldBeNil)
+			near, far := net.Pipe()
+			l := oneConn{make(chan net.Conn, 1)}
+			l.conns <- far
+			close(l.conns)
+			go r.Serve(l)
+			So(coder.NewClientCodec(near).WriteRequest(&rpc.Request{ServiceMethod: "Node.Ping", Seq: 1}, &Empty{}), ShouldBeNil)
+			synctest.Wait()
+			So(r.Pending(), ShouldEqual, 1)
+			time.Sleep(replyWriteTimeout + time.Millisecond)
+			synctest.Wait()
+			So(r.Pending(), ShouldEqual, 0)
+			So(near.Close(), ShouldBeNil)
+		})
+	})
+}
