--- a/internal/proxy/forwarder/bounded.go
+++ b/internal/proxy/forwarder/bounded.go
@@ -15,16 +15,19 @@
 )
 
 // boundedConn is a connection to another node on which no write blocks for longer than timeout.
+// Its writes must not be concurrent.
 type boundedConn struct {
 	net.Conn
 	timeout time.Duration
+	// armed is when the write deadline was set last.
+	armed time.Time
 }
 
 // Write implements net.Conn. If the peer takes no data for the timeout, the connection is
 // closed, since nothing may follow a part of a message.
-func (c boundedConn) Write(b []byte) (int, error) {
+func (c *boundedConn) Write(b []byte) (int, error) {
 	for written := 0; ; {
-		_ = c.SetWriteDeadline(time.Now().Add(c.timeout))
+		c.arm(time.Now())
 		n, err := c.Conn.Write(b[written:min(written+writeChunkBytes, len(b))])
 		written += n
 		if err != nil {
@@ -35,3 +38,14 @@
 		}
 	}
 }
+
+// arm sets the write deadline, unless that was done just before: most messages are short and
+// follow each other quickly, and each deadline costs processor time. A write has at least three
+// quarters of the timeout.
+func (c *boundedConn) arm(now time.Time) {
+	if now.Sub(c.armed) < c.timeout/4 {
+		return
+	}
+	c.armed = now
+	_ = c.SetWriteDeadline(now.Add(c.timeout))
+}
--- a/internal/proxy/forwarder/peer.go
+++ b/internal/proxy/forwarder/peer.go
@@ -178,7 +178,7 @@
 
 // newConnection starts an RPC client on a connection that was opened just now.
 func newConnection(conn net.Conn, now time.Time) *connection {
-	m := &monitoredConn{boundedConn: boundedConn{conn, callWriteTimeout}, opened: now}
+	m := &monitoredConn{boundedConn: boundedConn{Conn: conn, timeout: callWriteTimeout}, opened: now}
 	l := &connection{Client: rpc.NewClientWithCodec(coder.NewClientCodec(m)), conn: m}
 	l.lastProbe.Store(-int64(probeTimeout))
 	return l
--- a/internal/proxy/forwarder/receiver.go
+++ b/internal/proxy/forwarder/receiver.go
@@ -72,7 +72,7 @@
 			return
 		}
 		go func() {
-			r.server.ServeCodec(coder.NewServerCodec(boundedConn{conn, replyWriteTimeout}, &r.pending))
+			r.server.ServeCodec(coder.NewServerCodec(&boundedConn{Conn: conn, timeout: replyWriteTimeout}, &r.pending))
 			r.untrack(conn)
 		}()
 	}
