--- /dev/null
+++ b/internal/proxy/finder/registration.go
@@ -0,0 +1,93 @@
+package finder
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/tamarackscale/tamarackscale/internal/platform/keeper"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/balancer"
+)
+
+// renew renews the lease. A lease that has expired, or was lost with the store's latest writes,
+// is dropped without an error, so that the node registers again.
+func (f *Finder) renew(ctx context.Context) error {
+	err := f.config.Store.Renew(ctx, f.lease)
+	var notFound *keeper.NotFoundError
+	if errors.As(err, &notFound) {
+		f.lease = keeper.Lease{}
+		return nil
+	}
+	return err
+}
+
+// register writes the node's entry under its lease, and first obtains a lease if there is none.
+func (f *Finder) register(ctx context.Context, own balancer.Member) error {
+	if f.lease.ID == 0 {
+		lease, err := f.config.Store.Lease(ctx, leaseTTL)
+		if err != nil {
+			return err
+		}
+		f.lease = lease
+	}
+	value, err := json.Marshal(own)
+	if err != nil {
+		return err
+	}
+	err = f.config.Store.Commit(ctx, keeper.Transaction{
+		Writes: []keeper.Write{{Key: keyPrefix + own.Node, Value: value, Lease: f.lease}},
+	})
+	var notFound *keeper.NotFoundError
+	if errors.As(err, &notFound) {
+		f.lease = keeper.Lease{}
+	}
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	f.registered, f.registeredAt = own, time.Now()
+	close(f.written)
+	f.written = make(chan struct{})
+	f.mu.Unlock()
+	return nil
+}
+
+// AwaitDrain waits until the node's entry has the given drain start, in Unix milliseconds, or
+// the context ends. The drain must have been announced (AnnounceNow).
+func (f *Finder) AwaitDrain(ctx context.Context, start int64) {
+	for {
+		f.mu.Lock()
+		recorded, written := f.registered.DrainStart == start, f.written
+		f.mu.Unlock()
+		if recorded {
+			return
+		}
+		select {
+		case <-written:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// ReadFormer passes the entry of the node's former process to the directory, if it is still
+// there. Unlike the reads of all entries, this one is not stale. An error counts as no entry.
+func (f *Finder) ReadFormer(ctx context.Context) {
+	key := keyPrefix + f.config.Directory.Self().Node
+	snapshot, err := f.config.Store.Range(ctx, key, keeper.Linearizable)
+	if err != nil {
+		return
+	}
+	for _, item := range snapshot.Items {
+		var m balancer.Member
+		if item.Key == key && json.Unmarshal(item.Value, &m) == nil {
+			f.updateMember(m, "store")
+		}
+	}
+}
+
+// isRegistered reports whether m is the record that the node wrote last.
+func (f *Finder) isRegistered(m balancer.Member) bool {
+	return m.Node == f.registered.Node && m.Start == f.registered.Start && m.Sequence == f.registered.Sequence
+}
