proxy: names and comments after the review

PackedPosition in place of Revision (same place on the wire), skipTakeoverDelay, closes; closeIfIdle went, as it only called retire; comments that said too much or named one of two users.

--- a/internal/platform/keeper/keeper.go
+++ b/internal/platform/keeper/keeper.go
@@ -1,5 +1,7 @@
 // Package keeper defines the interfaces to the platform's key-value service, which is
-// the only persistent storage. Package connector implements Store over HTTP.
+// the only persistent storage: Store as the node with the product's own interface uses it, and
+// EventStore as the proxy on the users' platform does. The packages connector below
+// internal/platform and platform implement them over HTTP.
 package keeper
 
 import (
@@ -103,8 +105,9 @@
 // Unwrap returns the cause.
 func (e *UnknownOutcomeError) Unwrap() error { return e.Cause }
 
-// HistoryLostError reports that the events after a position are no longer retained or have
-// never been part of the store's present era; the reader must start again from a snapshot.
+// HistoryLostError reports that the events after a position are no longer retained, have never
+// been part of the store's present era, or may not arrive; the reader must start again from a
+// snapshot.
 type HistoryLostError struct {
 	After Position
 	// Era is the store's present era.
--- a/internal/proxy/acceptor/acceptor.go
+++ b/internal/proxy/acceptor/acceptor.go
@@ -141,13 +141,13 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for c := range a.conns {
-		c.closeIfIdle()
+		c.state.retire(c.raw)
 	}
 }
 
 // Shutdown accepts no further connections, closes each one when it is idle and returns when
 // all are closed or the context ends. No request that was read is left without a response,
-// unless the context ends.
+// except one sent behind the last response, or if the context ends.
 func (a *Acceptor) Shutdown(ctx context.Context) {
 	a.mu.Lock()
 	a.closing = true
--- a/internal/proxy/acceptor/conn.go
+++ b/internal/proxy/acceptor/conn.go
@@ -132,12 +132,6 @@
 	c.abandonRead()
 }
 
-// closeIfIdle makes the reading goroutine close the connection, unless it has begun to read
-// a request or a call is pending.
-func (c *conn) closeIfIdle() {
-	c.state.retire(c.raw)
-}
-
 // awaitRequest waits for the first byte of the next request. It returns an error when the
 // connection has been idle for too long, is retired or has failed.
 func (c *conn) awaitRequest(idleTimeout time.Duration) error {
--- a/internal/proxy/acceptor/state.go
+++ b/internal/proxy/acceptor/state.go
@@ -120,15 +120,16 @@
 	return true
 }
 
-// beginResponse reports whether a response may be written, and whether it is the last one:
-// on request, or because the node is stopping and no other call is pending or being read.
-func (s *state) beginResponse(last, stopping bool) (isLast, open bool) {
+// beginResponse reports whether a response may be written, and whether it is the last one: if
+// the connection is to be closed anyway, or if the node is stopping and no other call is pending
+// or being read.
+func (s *state) beginResponse(closes, stopping bool) (last, open bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ended {
 		return false, false
 	}
-	s.ended = last || (stopping && s.pending == 1 && !s.reading)
+	s.ended = closes || (stopping && s.pending == 1 && !s.reading)
 	return s.ended, true
 }
 
--- a/internal/proxy/finder/finder.go
+++ b/internal/proxy/finder/finder.go
@@ -40,8 +40,9 @@
 	firstHeartbeatTimeout = 4 * time.Second
 	// staleAge is the age that no stale read exceeds.
 	staleAge = 10 * time.Second
-	// removalTTL is how long the removal of a member is remembered. It exceeds leaseTTL, the
-	// age of a copy that the store may come back from and staleAge together.
+	// removalTTL is how long the removal of a member is remembered. It exceeds leaseTTL and
+	// staleAge together with the age of a copy that the store may come back from, which is
+	// taken to be some tens of seconds at most.
 	removalTTL = time.Minute
 )
 
--- a/internal/proxy/forwarder/messages.go
+++ b/internal/proxy/forwarder/messages.go
@@ -95,15 +95,16 @@
 	encoder.Message
 	// Start is the start time of the replying process, in Unix nanoseconds.
 	Start int64
-	// Revision is the position of the store up to which the replying node's version is known
-	// to be the newest, as Pack returns it.
-	Revision int64
+	// PackedPosition is the position of the store up to which the replying node's version is
+	// known to be the newest, as Pack returns it.
+	PackedPosition int64
 	// Subscribed reports whether the replying node receives changes itself, from the
 	// store or from a relay.
 	Subscribed bool
 }
 
-// revisionBits is the number of bits of a packed position that hold the revision.
+// revisionBits is the number of bits of a packed position that hold the revision. 15 bits are
+// left for the era.
 const revisionBits = 48
 
 // Pack returns a position as one number, in the order of positions. A release that does not
@@ -111,10 +112,10 @@
 // whole configuration instead.
 func Pack(p keeper.Position) int64 { return int64(p.Era)<<revisionBits | int64(p.Revision) }
 
-// Position returns the position that Revision holds. Its era is 0 if the reply is of a release
+// Position unpacks PackedPosition. Its era is 0 if the reply is of a release
 // that does not know eras.
 func (r *ConfigurationReply) Position() keeper.Position {
 	return keeper.Position{
-		Era: keeper.Era(r.Revision >> revisionBits), Revision: keeper.Revision(r.Revision & (1<<revisionBits - 1)),
+		Era: keeper.Era(r.PackedPosition >> revisionBits), Revision: keeper.Revision(r.PackedPosition & (1<<revisionBits - 1)),
 	}
 }
--- a/internal/proxy/forwarder/messages_gen.go
+++ b/internal/proxy/forwarder/messages_gen.go
@@ -130,9 +130,9 @@
 		err = msgp.WrapError(err, "Start")
 		return
 	}
-	z.Revision, err = dc.ReadInt64()
+	z.PackedPosition, err = dc.ReadInt64()
 	if err != nil {
-		err = msgp.WrapError(err, "Revision")
+		err = msgp.WrapError(err, "PackedPosition")
 		return
 	}
 	z.Subscribed, err = dc.ReadBool()
@@ -160,9 +160,9 @@
 		err = msgp.WrapError(err, "Start")
 		return
 	}
-	err = en.WriteInt64(z.Revision)
+	err = en.WriteInt64(z.PackedPosition)
 	if err != nil {
-		err = msgp.WrapError(err, "Revision")
+		err = msgp.WrapError(err, "PackedPosition")
 		return
 	}
 	err = en.WriteBool(z.Subscribed)
--- a/internal/proxy/forwarder/messages_test.go
+++ b/internal/proxy/forwarder/messages_test.go
@@ -25,7 +25,7 @@
 	Convey("Positions in their order", t, func() {
 		positions := []keeper.Position{{}, {Revision: 7}, {Era: 1}, {Era: 1, Revision: 1 << 40}, {Era: 2, Revision: 3}}
 		for i, p := range positions {
-			reply := ConfigurationReply{Revision: Pack(p)}
+			reply := ConfigurationReply{PackedPosition: Pack(p)}
 			So(reply.Position(), ShouldResemble, p)
 			if i > 0 {
 				So(Pack(p), ShouldBeGreaterThan, Pack(positions[i-1]))
--- a/internal/proxy/subscriber/exchange.go
+++ b/internal/proxy/subscriber/exchange.go
@@ -31,7 +31,7 @@
 // not yield the version that was encoded, applyReply requests the whole configuration. A
 // reply without a newer version confirms the one in force up to the reply's position.
 func (s *Subscriber) applyReply(ctx context.Context, r Relay, reply forwarder.ConfigurationReply, source string) {
-	if reply.Version == 0 && reply.Subscribed && reply.Revision > 0 {
+	if reply.Version == 0 && reply.Subscribed && reply.PackedPosition > 0 {
 		s.confirm(reply.Position())
 	}
 	if reply.Version <= s.Version() {
@@ -85,7 +85,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	reply := forwarder.ConfigurationReply{
-		Subscribed: s.subscribedLocked(), Revision: forwarder.Pack(s.confirmedPositionLocked()),
+		Subscribed: s.subscribedLocked(), PackedPosition: forwarder.Pack(s.confirmedPositionLocked()),
 	}
 	if s.Version() <= have {
 		return reply
@@ -93,7 +93,7 @@
 	message, err := s.history.Encode(have)
 	if err != nil {
 		s.config.Observe.Unusable("encoder", err)
-		reply.Revision = 0
+		reply.PackedPosition = 0
 	}
 	reply.Message = message
 	return reply
--- a/internal/proxy/subscriber/subscriber.go
+++ b/internal/proxy/subscriber/subscriber.go
@@ -231,10 +231,10 @@
 	s.awaitRelays(ctx)
 	s.consultPeers(ctx)
 	delay := time.Duration(0)
-	// hasTurn reports that the node calls the store without waiting for the relays first: it
+	// skipTakeoverDelay is set when the node calls the store without waiting for the relays first: it
 	// followed the store until the last call failed, so that they did not serve it before
 	// either, or it has to read the whole configuration.
-	hasTurn := false
+	skipTakeoverDelay := false
 	lastLost := time.Time{}
 	for pauser.Pause(ctx, delay) {
 		delay = rolePollInterval
@@ -242,23 +242,23 @@
 			s.setWatchingStore(false)
 			continue
 		}
-		if (!hasTurn && !pauser.Pause(ctx, s.takeoverDelay())) || !s.needsStore() {
+		if (!skipTakeoverDelay && !pauser.Pause(ctx, s.takeoverDelay())) || !s.needsStore() {
 			continue
 		}
 		err := s.watchStore(ctx)
-		hasTurn = false
+		skipTakeoverDelay = false
 		var lost *keeper.HistoryLostError
 		switch {
 		case ctx.Err() != nil:
 			return
 		case errors.As(err, &lost):
 			s.forgetPosition(lost.Era)
-			delay, hasTurn = lostHistoryDelay(time.Since(lastLost)), true
+			delay, skipTakeoverDelay = lostHistoryDelay(time.Since(lastLost)), true
 			lastLost = time.Now()
 		case err != nil:
 			delay = storeRetryBackoff
-			hasTurn = s.setWatchingStore(false)
-			if hasTurn || s.Version() == 0 {
+			skipTakeoverDelay = s.setWatchingStore(false)
+			if skipTakeoverDelay || s.Version() == 0 {
 				s.config.Observe.StoreLost(err)
 			}
 		}
--- a/internal/proxy/subscriber/subscriber_test.go
+++ b/internal/proxy/subscriber/subscriber_test.go
@@ -47,7 +47,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	reply := s.Next(ctx, have)
-	return reply.Version, reply.Subscribed, reply.Revision
+	return reply.Version, reply.Subscribed, reply.PackedPosition
 }
 
 // A relay of an older release can't decode the newest version. If it counted as receiving
