acceptor, keeper: a stop is as long as before; the position of a range goes

The two waits of 0.25 s before a connection is closed as idle made each planned stop up to 0.3 s longer than its idle window. With 0.1 s both together are as long as that window (0.2 s), and the tests of stalled reads pass as before.

--- a/internal/platform/keeper/events.go
+++ b/internal/platform/keeper/events.go
@@ -52,8 +52,6 @@
 // pages, they need not all be of the same revision.
 type Snapshot struct {
 	Items []Item
-	// Position is to be passed to the first Watch, which then misses no event.
-	Position Position
 }
 
 // Write sets one key in a transaction.
--- a/internal/proxy/acceptor/state.go
+++ b/internal/proxy/acceptor/state.go
@@ -27,7 +27,7 @@
 
 // retireDelay is how long a retired connection is still read. A read that begins after its
 // deadline fails although a request has arrived that the process had no time to read.
-const retireDelay = 250 * time.Millisecond
+const retireDelay = 100 * time.Millisecond
 
 // deadline returns the end of a timeout that begins at start; the zero time, which is no
 // deadline, if the timeout is not positive.
--- a/internal/proxy/subscriber/subscriber.go
+++ b/internal/proxy/subscriber/subscriber.go
@@ -231,9 +231,9 @@
 	s.awaitRelays(ctx)
 	s.consultPeers(ctx)
 	delay := time.Duration(0)
-	// skipTakeoverDelay is set when the node calls the store without waiting for the relays first: it
-	// followed the store until the last call failed, so that they did not serve it before
-	// either, or it has to read the whole configuration.
+	// skipTakeoverDelay is set when the node calls the store without waiting for the relays
+	// first: it followed the store until the last call failed, so that they did not serve it
+	// before either, or it has to read the whole configuration.
 	skipTakeoverDelay := false
 	lastLost := time.Time{}
 	for pauser.Pause(ctx, delay) {
