--- a/internal/proxy/subscriber/position_test.go
+++ b/internal/proxy/subscriber/position_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -154,8 +153,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		Convey("A node at position 12 of its zone, whose relays receive no changes", t, func() {
 			var lost, read time.Time
-			s := newRelease(9)
-			s.config.Store = &strictStore{
+			s := newOutsider(&strictStore{
 				read: func() (keeper.Item, keeper.Position, error) {
 					read = time.Now()
 					return keeper.Item{Value: []byte("4")}, keeper.Position{Era: 2, Revision: 7}, nil
@@ -167,22 +165,7 @@
 					}
 					return keeper.Events{Position: after}, nil
 				},
-			}
-			s.config.Relays = func() []Relay {
-				var relays []Relay
-				for i := range 20 {
-					relays = append(relays, Relay{Address: fmt.Sprintf("node-%d", i)})
-				}
-				return relays
-			}
-			s.config.OwnAddress = "node-12"
-			s.config.Peers = func() []string { return nil }
-			s.config.Request = func(context.Context, string, forwarder.ConfigurationArgs) (forwarder.ConfigurationReply, error) {
-				return forwarder.ConfigurationReply{}, nil
-			}
-			discovered := make(chan struct{})
-			close(discovered)
-			s.config.Discovered = discovered
+			})
 			s.apply([]byte("3"), "relay", keeper.Position{Era: 1, Revision: 9})
 			ctx, cancel := context.WithCancel(context.Background())
 			go s.Run(ctx)
--- a/internal/proxy/subscriber/subscriber_test.go
+++ b/internal/proxy/subscriber/subscriber_test.go
@@ -182,30 +182,37 @@
 	return keeper.Events{}, errors.New("no response")
 }
 
+// newOutsider returns the subscriber of the node at position 12 of its zone. The relays reply but
+// receive no changes, and there are no other nodes.
+func newOutsider(store keeper.EventStore) *Subscriber {
+	s := newRelease(9)
+	s.config.Store = store
+	s.config.Relays = func() []Relay {
+		var relays []Relay
+		for i := range 20 {
+			relays = append(relays, Relay{Address: fmt.Sprintf("node-%d", i)})
+		}
+		return relays
+	}
+	s.config.OwnAddress = "node-12"
+	s.config.Peers = func() []string { return nil }
+	s.config.Request = func(context.Context, string, forwarder.ConfigurationArgs) (forwarder.ConfigurationReply, error) {
+		return forwarder.ConfigurationReply{}, nil
+	}
+	discovered := make(chan struct{})
+	close(discovered)
+	s.config.Discovered = discovered
+	return s
+}
+
 // The relays of a zone reply but receive no changes, and a node that is no relay follows the
 // store itself. After the loss of its watch it must try again at once: the relays did not
 // serve it before either. While the store stays down, it waits its turn between tries.
 func TestLostWatchIsReplacedWithoutWaitingForRelays(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		Convey("A node at position 12 of its zone", t, func() {
-			s := newRelease(9)
 			store := &hangingStore{}
-			s.config.Store = store
-			s.config.Relays = func() []Relay {
-				var relays []Relay
-				for i := range 20 {
-					relays = append(relays, Relay{Address: fmt.Sprintf("node-%d", i)})
-				}
-				return relays
-			}
-			s.config.OwnAddress = "node-12"
-			s.config.Peers = func() []string { return nil }
-			s.config.Request = func(context.Context, string, forwarder.ConfigurationArgs) (forwarder.ConfigurationReply, error) {
-				return forwarder.ConfigurationReply{}, nil
-			}
-			discovered := make(chan struct{})
-			close(discovered)
-			s.config.Discovered = discovered
+			s := newOutsider(store)
 			ctx, cancel := context.WithCancel(context.Background())
 			go s.Run(ctx)
 			time.Sleep(20 * time.Second)
