--- a/internal/proxy/subscriber/position_test.go
+++ b/internal/proxy/subscriber/position_test.go
@@ -177,3 +177,34 @@
 		})
 	})
 }
+
+// A node starts and can't decode the store's version, and no other node replies at first. It
+// must go on asking them, or it never serves.
+func TestNodeThatCannotDecodeStoreGoesOnAskingPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("A node whose peers reply three seconds after its start", t, func() {
+			s := newOutsider(&strictStore{
+				read: func() (keeper.Item, keeper.Position, error) {
+					return keeper.Item{Value: []byte("12")}, keeper.Position{Era: 1, Revision: 7}, nil
+				},
+				watch: func(after keeper.Position) (keeper.Events, error) { return keeper.Events{Position: after}, nil },
+			})
+			s.config.Peers = func() []string { return []string{"peer"} }
+			start := time.Now()
+			s.config.Request = func(_ context.Context, address string, _ forwarder.ConfigurationArgs) (forwarder.ConfigurationReply, error) {
+				time.Sleep(time.Millisecond)
+				if address != "peer" || time.Since(start) < 3*time.Second {
+					return forwarder.ConfigurationReply{}, context.DeadlineExceeded
+				}
+				return replyWith(s, "3", keeper.Position{}), nil
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			go s.Run(ctx)
+			time.Sleep(3*time.Second + 2*peerPollInterval)
+			version := s.Version()
+			cancel()
+			time.Sleep(time.Minute)
+			So(version, ShouldEqual, 3)
+		})
+	})
+}
