--- a/internal/proxy/assembler/outage_test.go
+++ b/internal/proxy/assembler/outage_test.go
@@ -176,3 +176,19 @@
 		})
 	}
 }
+
+// The entry of the former process has expired when the next one starts, so that only the other
+// nodes know of the drain. The first heartbeat must wait until they are known.
+func TestDrainIsRecoveredFromOthersIfEntryIsGone(t *testing.T) {
+	inMesh(t, []string{"x"}, func(m *mesh.Mesh) {
+		draining := nodesOf(m, "a")[0]
+		So(draining.Upstream.Deregister(context.Background()), ShouldEqual, http.StatusOK)
+		draining.Kill()
+		m.Store.RevokeLeases()
+		// By then the others have registered again.
+		time.Sleep(5 * time.Second)
+		So(draining.Start(), ShouldBeNil)
+		So(draining.Upstream.Heartbeat(context.Background()), ShouldEqual, http.StatusOK)
+		So(draining.Proxy.Self().Draining, ShouldBeTrue)
+	})
+}
