--- a/internal/proxy/assembler/outage_test.go
+++ b/internal/proxy/assembler/outage_test.go
@@ -177,9 +177,9 @@
 	}
 }
 
-// The entry of the former process has expired when the next one starts, so that only the other
-// nodes know of the drain. The first heartbeat must wait until they are known.
-func TestDrainIsRecoveredFromOthersIfEntryIsGone(t *testing.T) {
+// The store is slow, so that a process can read neither its former one's entry nor the others'
+// in the time of its first heartbeat. The heartbeat must wait until the others are known.
+func TestDrainIsRecoveredFromOthersIfStoreIsSlow(t *testing.T) {
 	inMesh(t, []string{"x"}, func(m *mesh.Mesh) {
 		draining := nodesOf(m, "a")[0]
 		So(draining.Upstream.Deregister(context.Background()), ShouldEqual, http.StatusOK)
@@ -187,6 +187,7 @@
 		m.Store.RevokeLeases()
 		// By then the others have registered again.
 		time.Sleep(5 * time.Second)
+		m.Store.SetFaults(metastore.Faults{Delay: 200 * time.Millisecond})
 		So(draining.Start(), ShouldBeNil)
 		So(draining.Upstream.Heartbeat(context.Background()), ShouldEqual, http.StatusOK)
 		So(draining.Proxy.Self().Draining, ShouldBeTrue)
