runner: the test of a blocked reload does not depend on the machine's speed

It waited for the stop for at most a second of real time, so that a stall of the machine could fail it.

--- a/internal/proxy/runner/runner_test.go
+++ b/internal/proxy/runner/runner_test.go
@@ -45,8 +45,8 @@
 		select {
 		case reason := <-p.stopped:
 			So(reason, ShouldEqual, syscall.SIGTERM.String())
-		case <-time.After(time.Second):
-			So("no stop within a second", ShouldBeEmpty)
+		case <-time.After(time.Minute):
+			So("no stop within a minute", ShouldBeEmpty)
 		}
 	})
 }
