--- a/internal/observe/reporter/reporter.go
+++ b/internal/observe/reporter/reporter.go
@@ -22,6 +22,7 @@
 	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/dispatcher"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/router"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/subscriber"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/tracker"
 )
 
@@ -311,6 +312,12 @@
 // StoreRegained implements subscriber.Observer. It logs that the node watches the store.
 func (r *Reporter) StoreRegained() { r.log.WithField("event", "storeRegained").Info("watching store") }
 
+// Following implements subscriber.Observer. It logs where the node receives configuration
+// changes from.
+func (r *Reporter) Following(source subscriber.Source) {
+	r.log.WithFields(logrus.Fields{"event": "following", "source": source}).Info("source of configuration changes has changed")
+}
+
 // StoreCall counts a call to the platform's store by operation and result.
 func (r *Reporter) StoreCall(operation, result string) {
 	r.storeCalls.WithLabelValues(operation, result).Inc()
--- a/internal/proxy/subscriber/subscriber.go
+++ b/internal/proxy/subscriber/subscriber.go
@@ -84,8 +84,21 @@
 	// StoreRegained is called when the node starts to watch the store, also for the
 	// first time.
 	StoreRegained()
+	// Following is called when the node receives changes from another source than before.
+	Following(source Source)
 }
 
+// Source is where a node receives changes from.
+type Source string
+
+// The sources. A node follows no source until its first, and while neither the store nor a relay
+// passes changes on to it.
+const (
+	FollowsNone  Source = "none"
+	FollowsStore Source = "store"
+	FollowsRelay Source = "relay"
+)
+
 // Config is the configuration of a subscriber.
 type Config struct {
 	Store keeper.EventStore
@@ -146,11 +159,15 @@
 	// changed is closed and replaced when the version or the result of subscribed may have
 	// changed.
 	changed chan struct{}
+	// source is the source that was last passed to Observer.Following.
+	source Source
 }
 
 // New returns a subscriber without a configuration.
 func New(config Config) *Subscriber {
-	return &Subscriber{config: config, hinted: make(chan struct{}, 1), hints: make(chan hint, 1), changed: make(chan struct{})}
+	return &Subscriber{
+		config: config, hinted: make(chan struct{}, 1), hints: make(chan hint, 1), changed: make(chan struct{}), source: FollowsNone,
+	}
 }
 
 // Table returns the routing table in force, or nil if there is none.
@@ -299,6 +316,22 @@
 func (s *Subscriber) notifyWaitersLocked() {
 	close(s.changed)
 	s.changed = make(chan struct{})
+	if source := s.followedLocked(); source != s.source {
+		s.source = source
+		s.config.Observe.Following(source)
+	}
+}
+
+// followedLocked returns where the node receives changes from. The caller holds s.mu.
+func (s *Subscriber) followedLocked() Source {
+	switch {
+	case !s.subscribedLocked():
+		return FollowsNone
+	case s.watchingStore.Load() && !s.rejected:
+		return FollowsStore
+	default:
+		return FollowsRelay
+	}
 }
 
 // apply brings a configuration into force if it is newer than the one in force. The store's
--- a/internal/proxy/subscriber/subscriber_test.go
+++ b/internal/proxy/subscriber/subscriber_test.go
@@ -25,6 +25,7 @@
 func (silent) Unusable(string, error)               {}
 func (silent) StoreLost(error)                      {}
 func (silent) StoreRegained()                       {}
+func (silent) Following(Source)                     {}
 
 // newRelease returns a subscriber that decodes versions up to newest. A configuration is the
 // decimal text of its version.
