--- a/standin/network/network.go
+++ b/standin/network/network.go
@@ -20,6 +20,9 @@
 	listeners map[string]*listener
 	cut       func(from, to string) bool
 	delay     func(from, to string) time.Duration
+	// silence ends the delivery of data on the connections that were opened before; it is
+	// closed and replaced by Silence.
+	silence chan struct{}
 }
 
 // New returns a network without faults.
@@ -28,9 +31,26 @@
 		listeners: map[string]*listener{},
 		cut:       func(string, string) bool { return false },
 		delay:     func(string, string) time.Duration { return 0 },
+		silence:   make(chan struct{}),
 	}
 }
 
+// Silence ends the delivery of data on all open connections, without closing them. New ones
+// work.
+func (n *Network) Silence() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	close(n.silence)
+	n.silence = make(chan struct{})
+}
+
+// silenced returns the channel that is closed when the connections opened now fall silent.
+func (n *Network) silenced() <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.silence
+}
+
 // Cut replaces the rule that reports whether two hosts are cut off from each other. A
 // rule that holds in one direction cuts off both; nil reconnects all hosts. A
 // connection that was written to while cut off stays broken.
@@ -212,6 +232,8 @@
 	from, to string
 	// broken is shared by both ends of the connection.
 	broken *atomic.Bool
+	// silenced is closed when the connection falls silent.
+	silenced <-chan struct{}
 
 	startQueue sync.Once
 	queue      chan delayedWrite
@@ -229,12 +251,17 @@
 const queueLength = 4096
 
 func newConn(pipe net.Conn, n *Network, from, to string, broken *atomic.Bool) *conn {
-	return &conn{Conn: pipe, network: n, from: from, to: to, broken: broken, done: make(chan struct{})}
+	return &conn{Conn: pipe, network: n, from: from, to: to, broken: broken, silenced: n.silenced(), done: make(chan struct{})}
 }
 
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
 	cut, delay := c.network.link(c.from, c.to)
+	select {
+	case <-c.silenced:
+		cut = true
+	default:
+	}
 	if cut || c.broken.Load() {
 		c.broken.Store(true)
 		return len(p), nil
