subscriber: every node checks nodes of other zones, whatever it follows

Cause: the reader of a zone notices only after 3 s (2 s of waiting, 1 s of timeout) that its watch of the store delivers nothing, and says until then that it receives changes. The zone believes it. Only versions in replies to forwarded calls told of a newer one, and at low load few calls leave the zone. Ruled out: relays that fall silent towards the zone (probes notice within 0.6 s).

Now each node asks some node of another zone each second for a newer version, the next one after 0.15 s without a reply, three at most. Longest sum 1.3 s and a round trip, whatever the zone believes. Before, only the reader did so, each 5 s.

--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -149,7 +149,7 @@
 	})
 	p.subscriber = subscriber.New(subscriber.Config{
 		Store: store, Key: platform.ConfigurationKey, Decode: platform.DecodeConfiguration,
-		Peers: p.peers, Relays: p.relays, OwnAddress: s.PeerAddress(), Request: p.forwarder.Configuration, Observe: p.telemetry,
+		Peers: p.peers, RemotePeers: p.remotePeers, Relays: p.relays, OwnAddress: s.PeerAddress(), Request: p.forwarder.Configuration, Observe: p.telemetry,
 		Discovered: p.finder.Discovered(), FirstStart: s.FirstStart, Seed: p.forwarder.Sender(),
 	})
 }
--- a/internal/proxy/assembler/directory.go
+++ b/internal/proxy/assembler/directory.go
@@ -123,6 +123,25 @@
 	return addresses
 }
 
+// remotePeers returns the addresses of the nodes of other availability zones, or of all
+// other nodes if there is only this zone.
+func (p *Proxy) remotePeers() []string {
+	self := p.settings.Load().Node
+	var remote, local []string
+	for _, m := range p.Members() {
+		switch {
+		case m.Zone != self.AvailabilityZone:
+			remote = append(remote, m.Address)
+		case m.Node != self.ID:
+			local = append(local, m.Address)
+		}
+	}
+	if len(remote) == 0 {
+		return local
+	}
+	return remote
+}
+
 // relays returns the nodes of this availability zone that are not stopping. Those with
 // the highest link rate come first, since relays send each version to the whole zone.
 func (p *Proxy) relays() []subscriber.Relay {
--- a/internal/proxy/subscriber/relays.go
+++ b/internal/proxy/subscriber/relays.go
@@ -162,16 +162,42 @@
 	}
 }
 
-// checkPeers requests a newer version from some other node, each peerCheckInterval, while the node
-// follows the store: the store may hold an older version than the others have in force, if it has
-// come back from an older copy.
+// checkPeers requests a newer version from some other node, each peerCheckInterval. What the node
+// believes of its relays and of its watch does not matter for this: they may receive no changes
+// without having noticed, or the store may hold an older version than the others have in force, if
+// it has come back from an older copy.
 func (s *Subscriber) checkPeers(ctx context.Context) {
 	random := rand.New(rand.NewPCG(s.config.Seed, 0))
 	for pauser.Pause(ctx, peerCheckInterval) {
-		peers := s.config.Peers()
-		if !s.watchingStore.Load() || len(peers) == 0 {
-			continue
+		// A node without a version would receive the whole configuration from each node.
+		if s.Version() != 0 {
+			s.consultOne(ctx, choose(s.config.RemotePeers(), checkedPeers, random))
 		}
-		s.consult(ctx, Relay{Address: peers[random.IntN(len(peers))]})
 	}
 }
+
+// consultOne requests a newer version from nodes until one of them has replied. The next is asked
+// when the one before has failed or has not replied for consultDelay.
+func (s *Subscriber) consultOne(ctx context.Context, addresses []string) {
+	replied := make(chan bool, len(addresses))
+	for _, address := range addresses {
+		go func() { replied <- s.consult(ctx, Relay{Address: address}) }()
+		select {
+		case ok := <-replied:
+			if ok {
+				return
+			}
+		case <-time.After(consultDelay):
+		}
+	}
+}
+
+// choose returns up to n of the addresses in random order. It reorders the slice.
+func choose(addresses []string, n int, random *rand.Rand) []string {
+	n = min(n, len(addresses))
+	for i := range n {
+		j := i + random.IntN(len(addresses)-i)
+		addresses[i], addresses[j] = addresses[j], addresses[i]
+	}
+	return addresses[:n]
+}
--- a/internal/proxy/subscriber/startup.go
+++ b/internal/proxy/subscriber/startup.go
@@ -90,11 +90,13 @@
 	}
 }
 
-// consult requests a newer version from a node.
-func (s *Subscriber) consult(ctx context.Context, peer Relay) {
-	if reply, err := s.request(ctx, peer, 0); err == nil {
+// consult requests a newer version from a node and reports whether it replied.
+func (s *Subscriber) consult(ctx context.Context, peer Relay) bool {
+	reply, err := s.request(ctx, peer, 0)
+	if err == nil {
 		s.applyReply(ctx, peer, reply, "peer")
 	}
+	return err == nil
 }
 
 // spread returns up to n addresses from all parts of a list. Its first ones are of the node's
--- a/internal/proxy/subscriber/subscriber.go
+++ b/internal/proxy/subscriber/subscriber.go
@@ -5,7 +5,8 @@
 // first node watches the platform's store. The second node polls the first, and all
 // others poll both: these two are the relays of the zone.
 // A node whose relays do not reply, or receive no changes themselves, watches the store
-// itself. While the store is unavailable too, it polls other nodes, one at a time. A
+// itself. Whatever it follows, each node also asks some node of another zone at short intervals,
+// so that a zone whose relays have lost the store without noticing is not late. While the store is unavailable too, it polls other nodes, one at a time. A
 // starting node waits a short time for the relays; when the whole system starts for the
 // first time, it waits until the nodes have discovered each other. If it has no version then,
 // it requests one from other nodes before it contacts the store, since a store that has come
@@ -51,9 +52,11 @@
 	// peerPollInterval is the interval between requests to other nodes, and the backoff
 	// after a relay failed to reply or receives no changes itself.
 	peerPollInterval = 250 * time.Millisecond
-	// peerCheckInterval is the interval between requests to other nodes of a node that follows
-	// the store.
-	peerCheckInterval = 5 * time.Second
+	// peerCheckInterval is the interval between the checks of whether nodes of other
+	// availability zones have a newer version, and checkedPeers the number of nodes that one
+	// check asks at most, if the first ones do not reply.
+	peerCheckInterval = time.Second
+	checkedPeers      = 3
 	// relayCount is the number of relays of an availability zone.
 	relayCount = 2
 	// relayPollTimeout is how long a relay may hold a request until it has a newer
@@ -109,6 +112,9 @@
 	// Peers returns the addresses of other nodes, those of the node's own availability
 	// zone first.
 	Peers func() []string
+	// RemotePeers returns the addresses of the nodes of other availability zones, or of all
+	// other nodes if there is only one zone. The caller may reorder them.
+	RemotePeers func() []string
 	// Relays returns the nodes of the availability zone that may be relays, the node
 	// itself included, in the same order at every node. The first relayCount are the
 	// relays.
@@ -217,21 +223,13 @@
 				return
 			}
 			if h.version > s.Version() {
-				s.requestHinted(ctx, h)
+				// Without a reply, the next check of the peers or the next hint finds it.
+				s.consult(ctx, Relay{Address: h.address})
 			}
 		}
 	}
 }
 
-// requestHinted requests the version of a hint from its node. Without a reply, the next hint
-// tries again.
-func (s *Subscriber) requestHinted(ctx context.Context, h hint) {
-	node := Relay{Address: h.address}
-	if reply, err := s.request(ctx, node, 0); err == nil {
-		s.applyReply(ctx, node, reply, "peer")
-	}
-}
-
 // Run keeps the configuration up to date until the context ends. It must be called once.
 func (s *Subscriber) Run(ctx context.Context) {
 	select {
--- a/internal/proxy/subscriber/subscriber_test.go
+++ b/internal/proxy/subscriber/subscriber_test.go
@@ -38,8 +38,9 @@
 			}
 			return router.Configuration{Version: version}, err
 		},
-		Relays:  func() []Relay { return nil },
-		Observe: silent{},
+		Relays:      func() []Relay { return nil },
+		RemotePeers: func() []string { return nil },
+		Observe:     silent{},
 	})
 }
 
