subscriber, connector: a watch that falls silent ends half a second after its wait

Callers would see a version late (CONFIG) wherever all readers, or a fleet of one zone, lose their watch without an error: until the watch timed out (2 s of waiting and 1 s) the zones believed that nothing had changed, and the reader then waited 0.7 s more before it tried again, perhaps on an idle connection that was silent as well.

Longest sum 1.6 s, where it was 3.0 s and 0.7 s.

--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -27,8 +27,11 @@
 	"github.com/tamarackscale/tamarackscale/platform/connector"
 )
 
-// storeTimeout is the timeout of one call to the store.
-const storeTimeout = time.Second
+// storeTimeout is the timeout of one call to the store, watchGrace how long a watch may be overdue.
+const (
+	storeTimeout = time.Second
+	watchGrace   = 500 * time.Millisecond
+)
 
 // Config configures a proxy.
 type Config struct {
@@ -141,7 +144,8 @@
 		DisableCompression: true, MaxIdleConnsPerHost: 2,
 	}
 	store := connector.New(connector.Config{
-		Address: s.Platform.Address, Timeout: storeTimeout, Observe: p.telemetry.StoreCall, EraBegan: p.telemetry.StoreEra,
+		Address: s.Platform.Address, Timeout: storeTimeout, WatchGrace: watchGrace,
+		Observe: p.telemetry.StoreCall, EraBegan: p.telemetry.StoreEra,
 	}, p.transport)
 	p.finder = finder.New(finder.Config{
 		Store: store, Directory: p, Messenger: p.forwarder, Observe: p.telemetry,
--- a/internal/proxy/assembler/propagation_test.go
+++ b/internal/proxy/assembler/propagation_test.go
@@ -107,3 +107,22 @@
 		})
 	}
 }
+
+// silentWatchBound is the time after which a version is in force although the connections to the
+// store fell silent just before: the wait of a watch, its grace, and a call on a new connection.
+const silentWatchBound = 1600 * time.Millisecond
+
+// All connections fall silent, those that are idle too. If the reader waited before it tried again,
+// or tried on an idle connection, its zone would be late.
+func TestWatchOnSilentConnectionIsReplacedAtOnce(t *testing.T) {
+	const phases, step = 13, 400 * time.Millisecond
+	for i := range phases {
+		inMesh(t, []string{"x"}, func(m *mesh.Mesh) {
+			time.Sleep(10*time.Second + time.Duration(i)*step)
+			c := propagationCase{disturb: func(m *mesh.Mesh) { m.Network.Silence() }}
+			if took := c.propagation(m, time.Millisecond); took > silentWatchBound {
+				t.Errorf("phase %d: the version was in force after %v", i, took)
+			}
+		})
+	}
+}
--- a/internal/proxy/subscriber/subscriber.go
+++ b/internal/proxy/subscriber/subscriber.go
@@ -29,8 +29,9 @@
 
 const (
 	// watchTimeout is how long one watch waits for a change. It is short because a watch
-	// may stop delivering events without an error.
-	watchTimeout = 2 * time.Second
+	// may stop delivering events without an error, and all nodes behind it then believe that
+	// nothing changes.
+	watchTimeout = time.Second
 	// coalesceDelay is the delay between a change and the next watch, which returns all
 	// changes made in the meantime: a stream of versions costs one call to the store per
 	// delay. It also bounds how long a watch may take to deliver a hinted version.
@@ -250,7 +251,7 @@
 	// first: it followed the store until the last call failed, so that they did not serve it
 	// before either, or it has to read the whole configuration.
 	skipTakeoverDelay := false
-	lastLost := time.Time{}
+	lastFailure := time.Time{}
 	for pauser.Pause(ctx, delay) {
 		delay = rolePollInterval
 		if !s.needsStore() {
@@ -268,11 +269,14 @@
 			return
 		case errors.As(err, &lost):
 			s.forgetPosition(lost.Era)
-			delay, skipTakeoverDelay = lostHistoryDelay(time.Since(lastLost)), true
-			lastLost = time.Now()
+			delay, skipTakeoverDelay = storeRetryDelay(time.Since(lastFailure)), true
+			lastFailure = time.Now()
 		case err != nil:
 			delay = storeRetryBackoff
-			skipTakeoverDelay = s.setWatchingStore(false)
+			if skipTakeoverDelay = s.setWatchingStore(false); skipTakeoverDelay {
+				delay = storeRetryDelay(time.Since(lastFailure))
+			}
+			lastFailure = time.Now()
 			if skipTakeoverDelay || s.Version() == 0 {
 				s.config.Observe.StoreLost(err)
 			}
@@ -280,10 +284,11 @@
 	}
 }
 
-// lostHistoryDelay returns the delay before the whole configuration is read since the history
-// was lost: none, unless that was the case before within storeRetryBackoff already.
-func lostHistoryDelay(sinceLast time.Duration) time.Duration {
-	if sinceLast < storeRetryBackoff {
+// storeRetryDelay returns the delay after the loss of a watch or of its history: none, since a new
+// connection may serve where the old one fell silent, unless the last failure was within
+// storeRetryBackoff.
+func storeRetryDelay(sinceFailure time.Duration) time.Duration {
+	if sinceFailure < storeRetryBackoff {
 		return storeRetryBackoff
 	}
 	return 0
