subscriber: a relay that has just lost the store says so to the next request at once

Cause: a node relies on its relay for as long as its request is pending.

Now a node that stopped receiving changes less than 0.3 s ago replies at once; later requests are held, as their senders know. The new test fails before (2 s); a mutant added, found.

--- a/internal/proxy/subscriber/exchange.go
+++ b/internal/proxy/subscriber/exchange.go
@@ -59,9 +59,13 @@
 
 // Next waits for a configuration newer than version have and returns it. The version of
 // the reply is 0 if there is none when the context ends or when this node starts or
-// stops receiving changes.
+// stops receiving changes. A node that has just stopped replies at once: the request may have been
+// sent before, and the requester would rely on this node until the reply.
 func (s *Subscriber) Next(ctx context.Context, have int64) forwarder.ConfigurationReply {
 	subscribed := s.subscribed()
+	if !subscribed && s.lostRecently() {
+		return s.reply(have)
+	}
 	for {
 		s.mu.Lock()
 		changed := s.changed
@@ -77,6 +81,13 @@
 	}
 }
 
+// lostRecently reports whether the node has stopped receiving changes within recentLoss.
+func (s *Subscriber) lostRecently() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.lostAt) < recentLoss
+}
+
 // reply returns a reply to a node that holds version have: the version in force if that is
 // newer, or that there is none. Version and position are taken together, since the position of a
 // newer version would confirm the node's own. If the version can't be encoded, the reply
--- a/internal/proxy/subscriber/subscriber.go
+++ b/internal/proxy/subscriber/subscriber.go
@@ -63,6 +63,9 @@
 	// relayPollTimeout is how long a relay may hold a request until it has a newer
 	// version.
 	relayPollTimeout = 2 * time.Second
+	// recentLoss is how long a request may be under way that was sent before this node stopped
+	// receiving changes.
+	recentLoss = 300 * time.Millisecond
 	// rolePollInterval is the interval between checks of whether the node is a relay.
 	rolePollInterval = 200 * time.Millisecond
 )
@@ -168,6 +171,8 @@
 	changed chan struct{}
 	// source is the source that was last passed to Observer.Following.
 	source Source
+	// lostAt is when the node last stopped receiving changes; zero if it never did.
+	lostAt time.Time
 }
 
 // New returns a subscriber without a configuration.
@@ -321,6 +326,9 @@
 	s.changed = make(chan struct{})
 	if source := s.followedLocked(); source != s.source {
 		s.source = source
+		if source == FollowsNone {
+			s.lostAt = time.Now()
+		}
 		s.config.Observe.Following(source)
 	}
 }
--- a/internal/proxy/subscriber/subscriber_test.go
+++ b/internal/proxy/subscriber/subscriber_test.go
@@ -360,3 +360,27 @@
 		})
 	})
 }
+
+// A relay loses the store after a reply that said it receives changes, and before the next request.
+// Until it replies, the node relies on it and does not read the store itself.
+func TestLossBetweenTwoRequestsIsReportedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("A relay that has just lost the store", t, func() {
+			relay := newRelease(9)
+			relay.apply([]byte("1"), storeSource, keeper.Position{Revision: 1})
+			ctx, cancel := context.WithTimeout(context.Background(), relayPollTimeout)
+			defer cancel()
+			relay.setWatchingStore(true)
+			relay.setWatchingStore(false)
+			start := time.Now()
+			So(relay.Next(ctx, 1).Subscribed, ShouldBeFalse)
+			So(time.Since(start), ShouldEqual, 0)
+			Convey("holds later requests, until it receives changes again", func() {
+				time.Sleep(recentLoss)
+				time.AfterFunc(time.Second/2, func() { relay.setWatchingStore(true) })
+				So(relay.Next(ctx, 1).Subscribed, ShouldBeTrue)
+				So(time.Since(start), ShouldEqual, recentLoss+time.Second/2)
+			})
+		})
+	})
+}
