--- a/internal/proxy/assembler/propagation_test.go
+++ b/internal/proxy/assembler/propagation_test.go
@@ -18,10 +18,25 @@
 	disturb func(m *mesh.Mesh)
 	// disturbed are the names of nodes that may be late.
 	disturbed []string
+	// after is when the version is written, after the disturbance.
+	after time.Duration
 	// bound is the longest time until the version is in force on the others.
 	bound time.Duration
 }
 
+// restart kills processes at the same time and starts them again.
+func restart(nodes ...*mesh.Node) {
+	for _, n := range nodes {
+		n.Kill()
+	}
+	time.Sleep(200 * time.Millisecond)
+	for _, n := range nodes {
+		if err := n.Start(); err != nil {
+			panic(err)
+		}
+	}
+}
+
 // cutFrom returns a rule that cuts off each of the nodes from the hosts for which from holds.
 func cutFrom(from func(host string) bool, nodes ...string) func(a, b string) bool {
 	return func(a, b string) bool {
@@ -70,13 +85,33 @@
 		name: "all open connections are silent and new ones work", bound: recoveryWindow,
 		disturb: func(m *mesh.Mesh) { m.Network.Silence() },
 	},
+	{
+		name: "both relays have just started", bound: propagationTime, after: recoveryWindow - propagationTime,
+		disturb: func(m *mesh.Mesh) { restart(m.Nodes[:2]...) },
+	},
+	{
+		name:  "a node and the watching relay have just started and the relay is cut off from the store",
+		bound: propagationTime, after: recoveryWindow - propagationTime, disturbed: []string{"vm-x-1"},
+		disturb: func(m *mesh.Mesh) {
+			m.Network.Cut(cutFrom(isStore, "vm-x-1"))
+			restart(m.Nodes[0], m.Nodes[3])
+		},
+	},
+	{
+		name: "all nodes of a zone have just started", bound: propagationTime, after: recoveryWindow - propagationTime,
+		disturb: func(m *mesh.Mesh) { restart(m.Nodes[:4]...) },
+	},
+	{
+		name: "all nodes have just started", bound: propagationTime, after: recoveryWindow - propagationTime,
+		disturb: func(m *mesh.Mesh) { restart(m.Nodes...) },
+	},
 }
 
-// propagation returns how long a version takes that is written at the given time after the
-// disturbance, until it is in force on all nodes that are not disturbed.
-func (c propagationCase) propagation(m *mesh.Mesh, after time.Duration) time.Duration {
+// propagation returns how long a version takes that is written after the disturbance, until it
+// is in force on all nodes that are not disturbed.
+func (c propagationCase) propagation(m *mesh.Mesh) time.Duration {
 	c.disturb(m)
-	time.Sleep(after)
+	time.Sleep(max(c.after, time.Millisecond))
 	configure(m, 50, idempotent(readPrefix, "a"), nonIdempotent(orderPrefix, "b"))
 	start := time.Now()
 	for _, n := range m.Nodes {
@@ -97,7 +132,7 @@
 			for i := range phases {
 				inMesh(t, []string{"x", "x", "y", "y"}, func(m *mesh.Mesh) {
 					time.Sleep(10*time.Second + time.Duration(i)*step)
-					longest = max(longest, c.propagation(m, time.Millisecond))
+					longest = max(longest, c.propagation(m))
 				})
 			}
 			if longest > c.bound {
@@ -120,7 +155,7 @@
 		inMesh(t, []string{"x"}, func(m *mesh.Mesh) {
 			time.Sleep(10*time.Second + time.Duration(i)*step)
 			c := propagationCase{disturb: func(m *mesh.Mesh) { m.Network.Silence() }}
-			if took := c.propagation(m, time.Millisecond); took > silentWatchBound {
+			if took := c.propagation(m); took > silentWatchBound {
 				t.Errorf("phase %d: the version was in force after %v", i, took)
 			}
 		})
