--- a/internal/observe/reporter/reporter.go
+++ b/internal/observe/reporter/reporter.go
@@ -6,6 +6,7 @@
 
 import (
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"sync"
@@ -21,6 +22,7 @@
 	"github.com/tamarackscale/tamarackscale/internal/proxy/balancer"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/dispatcher"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/executor"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/router"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/subscriber"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/tracker"
@@ -59,6 +61,10 @@
 	version      prometheus.Gauge
 	unknownKinds prometheus.Gauge
 	rejected     prometheus.Gauge
+	// upstreamLimit is in calls per second.
+	upstreamLimit prometheus.Gauge
+	// limited reports whether the upstream names a rate limit.
+	limited atomic.Bool
 
 	onVersion atomic.Pointer[func(int64, string)]
 
@@ -95,8 +101,11 @@
 	r.version = gauge("tamarackscale_configuration_version", "Configuration version in force.")
 	r.unknownKinds = gauge("tamarackscale_configuration_unknown_kinds", "Routes in force of a kind that this release does not know.")
 	r.rejected = gauge("tamarackscale_configuration_rejected", "1 if the store's newest configuration can't be decoded, else 0.")
+	r.upstreamLimit = gauge("tamarackscale_upstream_limit_calls_per_second", "Rate of calls that the upstream beside the node takes, as it states; +Inf without a limit.")
+	r.upstreamLimit.Set(math.Inf(1))
 	r.registry.MustRegister(
 		r.callTime, r.upstreamTime, r.queueTime, r.endedCalls, r.attempts, r.unanswered, r.storeCalls, r.storeEra, r.version, r.unknownKinds, r.rejected,
+		r.upstreamLimit,
 	)
 	return r
 }
@@ -392,6 +401,21 @@
 	}).Info("upstream changed")
 }
 
+// RateLimited implements executor.Observer. It sets the metric of the upstream's rate limit, and
+// logs that a limit begins or ends, subject to the rate limit of input.
+func (r *Reporter) RateLimited(l executor.RateLimit) {
+	rate := math.Inf(1)
+	if l.Valid {
+		rate = l.PerSecond
+	}
+	r.upstreamLimit.Set(rate)
+	if r.limited.Swap(l.Valid) == l.Valid || !r.allow(r.inputLimiter, inputsSuppressedEvent, "rateLimit") {
+		return
+	}
+	r.log.WithFields(logrus.Fields{"event": "upstreamLimited", "limited": l.Valid, "callsPerSecond": l.PerSecond}).
+		Info("the upstream limits the rate of calls, or does not any more")
+}
+
 // HeartbeatRejected logs that a heartbeat or a deregistration of the local upstream was
 // rejected, subject to the rate limit of input.
 func (r *Reporter) HeartbeatRejected(err error) {
--- a/internal/proxy/executor/dialect.go
+++ b/internal/proxy/executor/dialect.go
@@ -40,6 +40,8 @@
 	// IdleTimeout is how long the upstream keeps an idle connection open; 0 if it is
 	// not specified.
 	IdleTimeout time.Duration
+	// RateLimit is what the answer states about the rate of calls that the upstream takes.
+	RateLimit RateLimit
 	// Fields holds the header fields that are forwarded to the caller.
 	Fields []carrier.Field
 	// Body must be closed.
--- a/internal/proxy/executor/exchange.go
+++ b/internal/proxy/executor/exchange.go
@@ -27,6 +27,11 @@
 	head  Head
 }
 
+// answered reports whether the upstream itself has answered or refused the call.
+func (r exchangeResult) answered() bool {
+	return r.Outcome == carrier.Run || r.Reason == carrier.UpstreamShed
+}
+
 // exchange sends a call on a connection and reads its answer. It then returns the
 // connection to the pool, or closes it if it can't be reused. The end of ctx aborts
 // the exchange.
--- a/internal/proxy/executor/executor.go
+++ b/internal/proxy/executor/executor.go
@@ -44,6 +44,14 @@
 	Admit func(kind string, rank int, now time.Time) (time.Duration, bool)
 	// Changed is called when the published state of the upstream has changed.
 	Changed func()
+	Observe Observer
+}
+
+// Observer is notified of what the answers of the upstream state about it.
+type Observer interface {
+	// RateLimited is called when the upstream names another rate limit than before, or none
+	// any more.
+	RateLimited(l RateLimit)
 }
 
 // Executor manages the calls and connections to the node's local upstream. It is safe
@@ -60,6 +68,7 @@
 	// running holds the calls in flight at the upstream, by ID.
 	running          map[string]*running
 	unreachableUntil time.Time
+	limit            limitState
 	stopping         bool
 }
 
@@ -133,6 +142,7 @@
 	if before.Instance != current.Instance || before.Born != current.Born {
 		e.pool.drop()
 		e.unreachableUntil = time.Time{}
+		e.limit = limitState{}
 	}
 	if current.State == tracker.Draining && before.State != tracker.Draining {
 		e.queue.RefuseAll()
@@ -346,6 +356,9 @@
 	result := e.exchange(ctx, c, upstream.Address, UpstreamRequest{
 		Call: job.Call, Instance: upstream.Instance, CallerService: job.CallerService, Remaining: time.Until(deadline),
 	})
+	if result.answered() {
+		e.recordLimit(upstream.Incarnation(), result.head.RateLimit, now)
+	}
 	if result.Reason == carrier.WrongEndpoint {
 		e.markAbsent(upstream.Incarnation())
 	}
--- a/internal/proxy/queuer/queuer.go
+++ b/internal/proxy/queuer/queuer.go
@@ -4,7 +4,8 @@
 // current time is an argument.
 //
 // It is built for overload by calls of several ranks, some of which are nested: upstreams
-// make them for calls that were admitted earlier.
+// make them for calls that were admitted earlier. An upstream may also limit the rate at which it
+// takes calls; free slots then wait for the next call to be due.
 package queuer
 
 import (
@@ -99,6 +100,7 @@
 	// being shed.
 	Slots int
 
+	pacer        pacer
 	waiting      []*Ticket
 	running      map[*Ticket]struct{}
 	serviceTimes map[string]time.Duration
@@ -109,6 +111,9 @@
 	// with exponential decay. Calls that are late on arrival do not count.
 	offeredLoad   [Classes]float64
 	offeredLoadAt time.Time
+	// offeredRate is the number of calls of each class that arrive per second, averaged and
+	// counted like offeredLoad.
+	offeredRate [Classes]float64
 }
 
 // New returns an empty queue without slots.
@@ -139,11 +144,39 @@
 	return defaultServiceTime
 }
 
+// LimitRate limits the rate at which calls start, in calls per second.
+func (q *Queue) LimitRate(rate float64, now time.Time) {
+	q.pacer.limit(rate, now)
+	q.Advance(now)
+}
+
+// UnlimitRate ends the limit of LimitRate.
+func (q *Queue) UnlimitRate(now time.Time) {
+	q.pacer = pacer{}
+	q.Advance(now)
+}
+
+// CountResend counts a call that is sent once more within its slot against the limit.
+func (q *Queue) CountResend(now time.Time) {
+	if !q.pacer.unlimited() {
+		q.pacer.start(now)
+	}
+}
+
+// NextStart returns the time until Advance has to be called since the limit of the rate lets a
+// waiting call start, and reports whether any call waits for that alone.
+func (q *Queue) NextStart(now time.Time) (time.Duration, bool) {
+	if len(q.waiting) == 0 || len(q.running) >= q.Slots {
+		return 0, false
+	}
+	return q.pacer.wait(now), true
+}
+
 // Waits estimates how long a new call of each class would wait in the queue. All waits are 0
-// if a slot is free or Slots is 0.
+// if a call may start now or Slots is 0.
 func (q *Queue) Waits(now time.Time) [Classes]time.Duration {
 	var waits [Classes]time.Duration
-	if len(q.running) < q.Slots || q.Slots == 0 {
+	if q.Slots == 0 || (len(q.running) < q.Slots && q.pacer.wait(now) == 0) {
 		return waits
 	}
 	q.order(now)
@@ -165,14 +198,16 @@
 	return time.Duration(float64(wait) / (1 - min(maxUtilisation, q.higherPriorityLoad(class, now))))
 }
 
-// higherPriorityLoad is the offered load of more urgent classes as a fraction of the slots.
+// higherPriorityLoad is the offered load of more urgent classes as a fraction of the slots, or
+// their offered rate as a fraction of the limit, whichever is higher.
 func (q *Queue) higherPriorityLoad(class Class, now time.Time) float64 {
-	total := 0.0
+	load, rate := 0.0, 0.0
 	for other := range min(class, lateOffset) {
-		total += q.offeredLoad[other]
+		load += q.offeredLoad[other]
+		rate += q.offeredRate[other]
 	}
 	decay := math.Exp(-now.Sub(q.offeredLoadAt).Seconds() / loadDecayTime.Seconds())
-	return total * decay / float64(max(1, q.Slots))
+	return decay * max(load/float64(max(1, q.Slots)), rate*q.pacer.interval.Seconds())
 }
 
 // recordArrival adds a ticket to the offered load, unless it is late already.
@@ -180,6 +215,7 @@
 	decay := math.Exp(-now.Sub(q.offeredLoadAt).Seconds() / loadDecayTime.Seconds())
 	for class := range q.offeredLoad {
 		q.offeredLoad[class] *= decay
+		q.offeredRate[class] *= decay
 	}
 	q.offeredLoadAt = now
 	class := q.class(t, now)
@@ -187,6 +223,7 @@
 		return
 	}
 	q.offeredLoad[class] += q.ServiceTime(t.Kind).Seconds() / loadDecayTime.Seconds()
+	q.offeredRate[class] += 1 / loadDecayTime.Seconds()
 }
 
 // Offer adds a ticket to the queue. It may grant free slots, shed the new ticket, and shed
@@ -202,15 +239,16 @@
 	q.Advance(now)
 }
 
-// Advance gives free slots to waiting tickets and sheds those whose turn would come too
-// late. A slot that no other ticket waits for goes to a call even if it is unlikely to end
-// before its deadline. Advance must be called after each change of Slots.
+// Advance gives free slots to waiting tickets, as the limit of the rate allows, and sheds those
+// whose turn would come too late. A slot that no other ticket waits for goes to a call even if it
+// is unlikely to end before its deadline. Advance must be called after each change of Slots, and
+// when the time of NextStart has passed.
 func (q *Queue) Advance(now time.Time) {
 	if len(q.waiting) == 0 {
 		return
 	}
 	q.order(now)
-	for len(q.running) < q.Slots && len(q.waiting) > 0 {
+	for len(q.running) < q.Slots && len(q.waiting) > 0 && q.pacer.wait(now) == 0 {
 		index := q.pick()
 		if t := q.waiting[index]; len(q.waiting) > 1 && now.Add(q.minRemaining(t)).After(t.Deadline) {
 			q.waiting = append(q.waiting[:index], q.waiting[index+1:]...)
@@ -271,6 +309,7 @@
 	t := q.waiting[index]
 	q.waiting = append(q.waiting[:index], q.waiting[index+1:]...)
 	t.grantedAt = now
+	q.pacer.start(now)
 	q.running[t] = struct{}{}
 	t.Settled <- nil
 }
@@ -297,25 +336,31 @@
 }
 
 // schedule estimates when each slot becomes free.
-func (q *Queue) schedule(now time.Time) slotSchedule {
-	schedule := make(slotSchedule, max(q.Slots, len(q.running)))
+func (q *Queue) schedule(now time.Time) schedule {
+	s := schedule{now: now, pacer: q.pacer, slots: make([]time.Duration, max(q.Slots, len(q.running)))}
 	i := 0
 	for t := range q.running {
 		mean := q.ServiceTime(t.Kind)
-		schedule[i] = max(mean-now.Sub(t.grantedAt), time.Duration(minResidualFraction*float64(mean)))
+		s.slots[i] = max(mean-now.Sub(t.grantedAt), time.Duration(minResidualFraction*float64(mean)))
 		i++
 	}
-	return schedule
+	return s
 }
 
-// slotSchedule holds the time from now until each slot becomes free.
-type slotSchedule []time.Duration
+// schedule is a plan of the starts of waiting calls.
+type schedule struct {
+	now time.Time
+	// pacer holds the limit of the rate with the planned starts.
+	pacer pacer
+	// slots holds the time from now until each slot becomes free.
+	slots []time.Duration
+}
 
 // nextFree returns the index of the slot that is free first.
-func (p slotSchedule) nextFree() int {
+func (s *schedule) nextFree() int {
 	best := 0
-	for i, free := range p {
-		if free < p[best] {
+	for i, free := range s.slots {
+		if free < s.slots[best] {
 			best = i
 		}
 	}
@@ -323,10 +368,14 @@
 }
 
 // earliest is the time until the next call can start.
-func (p slotSchedule) earliest() time.Duration { return p[p.nextFree()] }
+func (s *schedule) earliest() time.Duration { return max(s.slots[s.nextFree()], s.pacer.wait(s.now)) }
 
 // assign adds a call with the given service time to the slot that is free first.
-func (p slotSchedule) assign(service time.Duration) { p[p.nextFree()] += service }
+func (s *schedule) assign(service time.Duration) {
+	start := s.earliest()
+	s.pacer.start(s.now.Add(start))
+	s.slots[s.nextFree()] = start + service
+}
 
 // Withdraw removes a waiting ticket and reports whether it was waiting. If it was not, the
 // ticket has a slot, which the caller must release, or was refused.
