queuer, executor, balancer: an upstream gets calls within the rate limit that it names

Cause: nothing read the field; a node placed and started calls by free slots alone. Only the node beside an upstream sends to it, so it can keep the limit exactly and without any agreement: the queue starts calls at the stated rate, the most urgent first, with a burst of 0.25 s; a resend counts; calls that do not fit before their deadline are refused at once, truthfully, and do not count against the retry budget. At a limit near 0 one call each 2 s still shows when it ends. A restarted node sends 3 calls until the first answer tells it of a limit. Ruled out: limits per node (the sum would exceed), a record of limits at other nodes (the three calls are within the bound for any limit; a record would be one more message).

--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -103,7 +103,7 @@
 	p.telemetry = reporter.New(s.Node.ID, s.Node.AvailabilityZone, config.Output)
 	p.executor = executor.New(executor.Config{
 		Dialect: platform.HTTP{}, Dial: p.network.Dial, DrainTime: p.bounds.DrainTime.Std(), Changed: p.publishSelf,
-		Observe: p.telemetry,
+		Observe: p.telemetry, Restarted: !s.FirstStart,
 		Admit: func(kind string, rank int, now time.Time) (time.Duration, bool) {
 			return p.dispatcher.Admit(kind, rank, now)
 		},
--- a/internal/proxy/balancer/balancer_test.go
+++ b/internal/proxy/balancer/balancer_test.go
@@ -239,3 +239,19 @@
 		So(b.HasCapacity(callOf(1, 600*ms), now), ShouldBeFalse)
 	})
 }
+
+// An upstream that limits its rate of calls has free slots, but its node reports a wait. Calls that
+// were placed by the slots alone would be refused there, although another upstream takes them.
+func TestWaitOfUpstreamWithFreeSlotsCounts(t *testing.T) {
+	Convey("The near upstream has free slots and a long wait", t, func() {
+		b := newPair(100*ms, 100*ms)
+		load := Load{Slots: 4}
+		for class := range load.Waits {
+			load.Waits[class] = 2 * time.Second
+		}
+		near := b.members["x"]
+		near.inFlight++
+		b.Done(near, Outcome{Kind: "k", Answered: true, UpstreamTime: 100 * ms, Load: &load}, now)
+		So(pickedZone(b, callOf(1, 600*ms)), ShouldEqual, "y")
+	})
+}
--- a/internal/proxy/balancer/estimate.go
+++ b/internal/proxy/balancer/estimate.go
@@ -135,9 +135,10 @@
 	busy := max(float64(c.inFlight), weight*float64(c.load.InUse+c.load.Waiting))
 	received := weight * float64(c.load.Waits[class])
 	if busy < slots {
-		// Upstreams slow down when nearly all of their slots are in use.
+		// Upstreams slow down when nearly all of their slots are in use. One that limits the
+		// rate of calls may have a wait although slots are free.
 		utilisation := busy / slots
-		return time.Duration(utilisation * utilisation * float64(service) / 2)
+		return time.Duration(max(received, utilisation*utilisation*float64(service)/2))
 	}
 	// All slots are in use: a call also waits for half a service time until the next one is
 	// free, and for the calls sent since the load was received.
--- a/internal/proxy/executor/executor.go
+++ b/internal/proxy/executor/executor.go
@@ -29,6 +29,9 @@
 	// sent. Only an idempotent call is sent again, and only if the previous
 	// connection failed before any byte of an answer.
 	maxConnectionsTried = 3
+	// unprovenSlots is how many calls a restarted node sends at once until the upstream has
+	// answered one: it may have named a rate limit before, which the new process does not know.
+	unprovenSlots = 3
 )
 
 // Config is the configuration of an executor.
@@ -45,6 +48,9 @@
 	// Changed is called when the published state of the upstream has changed.
 	Changed func()
 	Observe Observer
+	// Restarted reports whether a former process of the node may have sent calls to the
+	// upstream.
+	Restarted bool
 }
 
 // Observer is notified of what the answers of the upstream state about it.
@@ -69,14 +75,19 @@
 	running          map[string]*running
 	unreachableUntil time.Time
 	limit            limitState
-	stopping         bool
+	// unproven holds until the first answer after a restart of the node.
+	unproven bool
+	// wake advances the queue when the rate limit lets the next call start; nil before the first
+	// use.
+	wake     *time.Timer
+	stopping bool
 }
 
 // New returns an executor without an upstream.
 func New(config Config) *Executor {
 	return &Executor{
 		config: config, dialect: config.Dialect, pool: newPool(config.Dial), tracker: tracker.New(), queue: queuer.New(),
-		running: map[string]*running{},
+		running: map[string]*running{}, unproven: config.Restarted,
 	}
 }
 
@@ -138,16 +149,60 @@
 // the queued calls are refused. The caller holds the lock.
 func (e *Executor) applyUpstream(before tracker.Upstream, now time.Time) {
 	current := e.tracker.Current()
-	e.queue.Slots = current.Slots
 	if before.Instance != current.Instance || before.Born != current.Born {
 		e.pool.drop()
 		e.unreachableUntil = time.Time{}
 		e.limit = limitState{}
+		e.queue.UnlimitRate(now)
+		e.unproven = e.unproven && before.Instance == ""
 	}
 	if current.State == tracker.Draining && before.State != tracker.Draining {
 		e.queue.RefuseAll()
 	}
+	e.queue.Slots = e.usableSlots()
+	e.advance(now)
+}
+
+// usableSlots returns the number of calls that may run at the upstream at once. The caller holds
+// the lock.
+func (e *Executor) usableSlots() int {
+	slots := e.tracker.Current().Slots
+	if e.unproven {
+		return min(slots, unprovenSlots)
+	}
+	return slots
+}
+
+// advance gives slots to the calls that may start, and sets the timer for the next one. The caller
+// holds the lock.
+func (e *Executor) advance(now time.Time) {
 	e.queue.Advance(now)
+	e.scheduleAdvance(now)
+}
+
+// scheduleAdvance sets the timer for the next call that the rate limit delays. It must be called
+// after each change of the queue. The caller holds the lock.
+func (e *Executor) scheduleAdvance(now time.Time) {
+	delay, waits := e.queue.NextStart(now)
+	switch {
+	case !waits:
+	case e.wake == nil:
+		e.wake = time.AfterFunc(delay, e.wakeQueue)
+	default:
+		e.wake.Reset(delay)
+	}
+}
+
+func (e *Executor) wakeQueue() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.advance(time.Now())
+}
+
+// release frees the slot of a ticket. The caller holds the lock.
+func (e *Executor) release(ticket *queuer.Ticket, answered bool, now time.Time) {
+	e.queue.Release(ticket, answered, now)
+	e.scheduleAdvance(now)
 }
 
 // Upstream returns the latest known state of the upstream.
@@ -204,7 +259,7 @@
 	now = time.Now()
 	e.mu.Lock()
 	e.finished(job.Call.ID)
-	e.queue.Release(ticket, isServiceTimeSample(result), now)
+	e.release(ticket, isServiceTimeSample(result), now)
 	e.mu.Unlock()
 	return result, now.Sub(started)
 }
@@ -256,6 +311,7 @@
 		return carrier.Refuse(reason), true
 	}
 	e.queue.Offer(ticket, now)
+	e.scheduleAdvance(now)
 	return carrier.Result{}, false
 }
 
@@ -303,7 +359,7 @@
 		return result, true
 	}
 	e.mu.Lock()
-	e.queue.Release(ticket, false, time.Now())
+	e.release(ticket, false, time.Now())
 	e.mu.Unlock()
 	return carrier.Refuse(reasonOf(ctx)), true
 }
@@ -334,10 +390,18 @@
 			return result
 		}
 		sent = true
+		e.countResend()
 	}
 	return carrier.Fail(carrier.AnswerBroken)
 }
 
+// countResend counts the next send of a call that has a slot against the rate limit.
+func (e *Executor) countResend() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.queue.CountResend(time.Now())
+}
+
 // runOnce sends a call on one connection. It also reports whether that was a reused one that
 // failed before any byte of an answer.
 func (e *Executor) runOnce(ctx context.Context, job Job, deadline time.Time) (carrier.Result, bool) {
@@ -403,5 +467,12 @@
 	e.queue.RefuseAll()
 }
 
-// Close closes the idle connections.
-func (e *Executor) Close() { e.pool.drop() }
+// Close closes the idle connections. Calls that wait for the rate limit start no more.
+func (e *Executor) Close() {
+	e.pool.drop()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.wake != nil {
+		e.wake.Stop()
+	}
+}
--- a/internal/proxy/executor/ratelimit.go
+++ b/internal/proxy/executor/ratelimit.go
@@ -38,15 +38,39 @@
 	return l.RateLimit != before
 }
 
-// recordLimit updates the rate limit from the head of an answer of an incarnation of the
-// upstream, to a call that was sent at the given time.
+// recordLimit applies the rate limit that the head of an answer states. The answer is of an
+// incarnation of the upstream, to a call that was sent at the given time.
 func (e *Executor) recordLimit(incarnation tracker.Incarnation, stated RateLimit, sent time.Time) {
 	now := time.Now()
 	e.mu.Lock()
 	changed := e.tracker.Current().Incarnation() == incarnation && e.limit.update(stated, sent, now)
 	limit := e.limit.RateLimit
+	if changed {
+		e.applyLimit(limit, now)
+	}
+	e.prove(now)
 	e.mu.Unlock()
 	if changed {
 		e.config.Observe.RateLimited(limit)
 	}
 }
+
+// applyLimit limits the rate at which calls start. The caller holds the lock.
+func (e *Executor) applyLimit(l RateLimit, now time.Time) {
+	if l.Valid {
+		e.queue.LimitRate(l.PerSecond, now)
+	} else {
+		e.queue.UnlimitRate(now)
+	}
+	e.scheduleAdvance(now)
+}
+
+// prove ends the caution after a restart. The caller holds the lock.
+func (e *Executor) prove(now time.Time) {
+	if !e.unproven {
+		return
+	}
+	e.unproven = false
+	e.queue.Slots = e.usableSlots()
+	e.advance(now)
+}
--- a/internal/proxy/queuer/pacer.go
+++ b/internal/proxy/queuer/pacer.go
@@ -37,7 +37,8 @@
 	if p.unlimited() {
 		return 0
 	}
-	return max(0, p.due.Sub(now)-paceBurst)
+	// The difference is taken last, since that to a zero time overflows.
+	return max(0, p.due.Add(-paceBurst).Sub(now))
 }
 
 // start records that a call starts at the given time.
--- a/internal/proxy/queuer/queuer_test.go
+++ b/internal/proxy/queuer/queuer_test.go
@@ -180,6 +180,9 @@
 	next := 0
 	for ms := range until {
 		now := at(ms)
+		if delay, waits := q.NextStart(now); waits && delay == 0 {
+			q.Advance(now)
+		}
 		for t, end := range ends {
 			if end <= ms {
 				q.Release(t, true, now)
@@ -230,3 +233,96 @@
 		So(inTime, ShouldBeGreaterThan, 3*late)
 	})
 }
+
+// starts returns when the calls of a load start, in milliseconds, and how many were shed.
+func starts(q *Queue, load []*Ticket, arrive []int, work, until int) (started map[*Ticket]int, shed int) {
+	started = map[*Ticket]int{}
+	inTime, late, shed := replay(q, load, arrive, func(i int) int {
+		started[load[i]] = int(load[i].grantedAt.Sub(start) / time.Millisecond)
+		return work
+	}, until)
+	So(inTime+late, ShouldEqual, len(started))
+	return started, shed
+}
+
+// Guards against more calls than an upstream takes by its own statement: twice as many arrive, a
+// third of them urgent, in bursts, and some are sent twice.
+func TestCallsStartWithinLimitOfRate(t *testing.T) {
+	const calls, window = 900, 4000
+	for _, rate := range []float64{100, 20, 3, 0} {
+		Convey(fmt.Sprintf("An upstream with 18 slots takes %v calls a second", rate), t, func() {
+			q := New()
+			q.Slots = 18
+			q.recordServiceTime("read", 50*time.Millisecond)
+			q.LimitRate(rate, at(0))
+			var load []*Ticket
+			var arrive []int
+			spacing := int(1000 / (2 * max(rate, 5)))
+			for i := range calls {
+				// Five calls arrive at once.
+				ms := i / 5 * 5 * spacing
+				rank := min(i%3, 1)
+				load, arrive = append(load, ticket("read", rank, false, ms, 600, 1200)), append(arrive, ms)
+			}
+			started, shed := starts(q, load, arrive, 50, calls*spacing+3000)
+			counts := make([]int, calls*spacing+3000+window)
+			urgent := 0
+			for t, ms := range started {
+				for i := ms; i < ms+window; i++ {
+					counts[i]++
+				}
+				if t.Rank == 0 {
+					urgent++
+				}
+			}
+			most := 0
+			for _, n := range counts {
+				most = max(most, n)
+			}
+			So(most, ShouldBeLessThanOrEqualTo, int(1.5*rate*window/1000)+5)
+			So(len(started)+shed, ShouldEqual, calls)
+			So(len(started), ShouldBeGreaterThanOrEqualTo, int(0.9*rate*float64(calls*spacing)/1000))
+			if rate >= 20 {
+				So(urgent, ShouldBeGreaterThan, calls/3*9/10)
+			}
+		})
+	}
+}
+
+// A limit that is lowered must hold soon, and one that ends must release the calls that wait.
+func TestLimitOfRateChanges(t *testing.T) {
+	Convey("A call waits for the limit alone", t, func() {
+		q := New()
+		q.Slots = 4
+		q.LimitRate(2, at(0))
+		first, second := ticket("k", 0, false, 0, 900, 2000), ticket("k", 0, false, 0, 900, 2000)
+		q.Offer(first, at(0))
+		granted, _ := settlement(first)
+		So(granted, ShouldBeTrue)
+		q.Offer(second, at(0))
+		delay, waits := q.NextStart(at(0))
+		So(waits, ShouldBeTrue)
+		So(delay, ShouldEqual, 500*time.Millisecond-paceBurst)
+		So(q.Waits(at(0))[ClassOf(0, false)], ShouldBeGreaterThan, delay)
+		Convey("and starts when it is due", func() {
+			q.Advance(at(250))
+			granted, _ := settlement(second)
+			So(granted, ShouldBeTrue)
+		})
+		Convey("and starts when the limit ends", func() {
+			q.UnlimitRate(at(10))
+			granted, _ := settlement(second)
+			So(granted, ShouldBeTrue)
+			So(q.Waits(at(10)), ShouldResemble, [Classes]time.Duration{})
+		})
+		Convey("and is refused when a lower limit leaves no time for it", func() {
+			for range 4 {
+				q.CountResend(at(0))
+			}
+			q.LimitRate(0.5, at(10))
+			_, refusal := settlement(second)
+			So(refusal, ShouldNotBeNil)
+			So(refusal.Wait, ShouldBeGreaterThan, 1900*time.Millisecond)
+		})
+	})
+}
