executor, platform: an answer that says its upstream leaves begins the drain

Callers: a call would reach an upstream more than the drain time after a node had passed on an answer with Server-Leaving (DRAIN), if the upstream's heartbeats say so later or never.

Cause: only heartbeats and deregistrations began a drain. Now an answer of the incarnation does the same, with all that follows: the record goes to the other nodes and into the store at once, the node beside the upstream refuses calls after 0.6 of the drain time, and a restarted node gets the record back.

--- a/internal/observe/reporter/reporter.go
+++ b/internal/observe/reporter/reporter.go
@@ -416,6 +416,10 @@
 		Info("the upstream limits the rate of calls, or does not any more")
 }
 
+// DrainStated implements executor.Observer. It logs that an answer of the upstream states its
+// drain.
+func (r *Reporter) DrainStated(u tracker.Upstream) { r.Upstream(u, tracker.Changed) }
+
 // HeartbeatRejected logs that a heartbeat or a deregistration of the local upstream was
 // rejected, subject to the rate limit of input.
 func (r *Reporter) HeartbeatRejected(err error) {
--- a/internal/proxy/assembler/ratelimit_test.go
+++ b/internal/proxy/assembler/ratelimit_test.go
@@ -20,10 +20,12 @@
 	limitSettleTime = 3 * time.Second
 )
 
-// arrivalLog makes an upstream state a rate limit and records when calls arrive.
+// arrivalLog makes an upstream state a rate limit, or that it leaves, and records when calls
+// arrive.
 type arrivalLog struct {
 	mu       sync.Mutex
 	limit    string
+	leaving  bool
 	arrivals []time.Time
 }
 
@@ -36,6 +38,9 @@
 		if l.limit != "" {
 			w.Header().Set("Server-Limit", l.limit)
 		}
+		if l.leaving {
+			w.Header().Set("Server-Leaving", "1")
+		}
 		return false
 	})
 }
@@ -47,6 +52,23 @@
 	l.limit = limit
 }
 
+// leave makes all answers state that the upstream leaves.
+func (l *arrivalLog) leave() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.leaving = true
+}
+
+// last returns when the last call arrived; zero if none did.
+func (l *arrivalLog) last() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.arrivals) == 0 {
+		return time.Time{}
+	}
+	return l.arrivals[len(l.arrivals)-1]
+}
+
 // most returns the largest number of arrivals in any limitWindow that begins after from.
 func (l *arrivalLog) most(from time.Time) int {
 	l.mu.Lock()
--- a/internal/proxy/executor/dialect.go
+++ b/internal/proxy/executor/dialect.go
@@ -42,6 +42,8 @@
 	IdleTimeout time.Duration
 	// RateLimit is what the answer states about the rate of calls that the upstream takes.
 	RateLimit RateLimit
+	// Draining reports whether the answer states that the upstream is draining.
+	Draining bool
 	// Fields holds the header fields that are forwarded to the caller.
 	Fields []carrier.Field
 	// Body must be closed.
--- a/internal/proxy/executor/executor.go
+++ b/internal/proxy/executor/executor.go
@@ -58,6 +58,9 @@
 	// RateLimited is called when the upstream names another rate limit than before, or none
 	// any more.
 	RateLimited(l RateLimit)
+	// DrainStated is called when an answer states that the upstream is draining, which the node
+	// did not know.
+	DrainStated(u tracker.Upstream)
 }
 
 // Executor manages the calls and connections to the node's local upstream. It is safe
@@ -130,8 +133,8 @@
 }
 
 // MarkDraining records that an incarnation of the upstream has been draining since the
-// given time.
-func (e *Executor) MarkDraining(incarnation tracker.Incarnation, since, now time.Time) {
+// given time, and returns what changed.
+func (e *Executor) MarkDraining(incarnation tracker.Incarnation, since, now time.Time) tracker.Verdict {
 	e.mu.Lock()
 	before := e.tracker.Current()
 	verdict := e.tracker.MarkDraining(incarnation, since, now)
@@ -142,6 +145,7 @@
 	if verdict == tracker.Changed {
 		e.config.Changed()
 	}
+	return verdict
 }
 
 // applyUpstream applies the latest state of the upstream to the queue and the
@@ -422,6 +426,7 @@
 	})
 	if result.answered() {
 		e.recordLimit(upstream.Incarnation(), result.head.RateLimit, now)
+		e.recordDrain(upstream, result.head.Draining)
 	}
 	if result.Reason == carrier.WrongEndpoint {
 		e.markAbsent(upstream.Incarnation())
@@ -429,6 +434,18 @@
 	return result.Result, result.stale
 }
 
+// recordDrain marks the upstream as draining if an answer of it states so. Its heartbeats may say
+// so later, or never.
+func (e *Executor) recordDrain(upstream tracker.Upstream, stated bool) {
+	if !stated || upstream.State == tracker.Draining {
+		return
+	}
+	now := time.Now()
+	if e.MarkDraining(upstream.Incarnation(), now, now) == tracker.Changed {
+		e.config.Observe.DrainStated(e.Upstream())
+	}
+}
+
 // markUnreachable starts the backoff after a connection could not be opened, unless the
 // context has ended or another incarnation of the upstream has taken over meanwhile. It
 // returns the refusal of the call.
