executor: a refusal that an upstream repeats does not count for another send of the same call

But a caller that sends a refused call again with the same ID could get it on the same connection: the repeated refusal counted, while the call ran. A connection now remembers what was refused on it, and does not carry those calls again; after 256 refusals it is not reused.

--- a/internal/proxy/executor/exchange.go
+++ b/internal/proxy/executor/exchange.go
@@ -109,7 +109,11 @@
 			}
 			continue
 		}
-		return classify(head, body), !head.Close && c.reader.Buffered() == 0
+		result := classify(head, body)
+		if result.Outcome == carrier.NotRun {
+			c.recordRefusal(request.Call.ID)
+		}
+		return result, !head.Close && c.reader.Buffered() == 0
 	}
 	return exchangeResult{Result: carrier.Fail(carrier.AnswerBroken)}, false
 }
--- a/internal/proxy/executor/executor.go
+++ b/internal/proxy/executor/executor.go
@@ -417,7 +417,7 @@
 	if reason != "" {
 		return carrier.Refuse(reason), false
 	}
-	c, err := e.pool.get(ctx, upstream.Address, now)
+	c, err := e.pool.get(ctx, upstream.Address, job.Call.ID, now)
 	if err != nil {
 		return e.markUnreachable(ctx, upstream.Incarnation(), now), false
 	}
--- a/internal/proxy/executor/pool.go
+++ b/internal/proxy/executor/pool.go
@@ -22,6 +22,9 @@
 	// defaultIdleTimeout is how long an idle connection is reused if the upstream does
 	// not specify its idle timeout.
 	defaultIdleTimeout = 2 * time.Second
+	// maxRefusals is the number of refused calls that a connection remembers. It is closed
+	// instead of being reused after more.
+	maxRefusals = 256
 	// bufferBytes is the size of a connection's read buffer and of its write buffer.
 	bufferBytes = 4 << 10
 )
@@ -36,6 +39,9 @@
 	// idle is how long the connection may be idle and still be reused.
 	idle    time.Duration
 	lastUse time.Time
+	// refused holds the IDs of the calls that were refused on the connection. A faulty upstream
+	// may write a refusal once more, which would count for another send of the same ID.
+	refused map[string]struct{}
 	// fresh reports whether no call has been answered on the connection yet.
 	fresh bool
 	// generation is that of the pool when the connection was requested.
@@ -59,14 +65,29 @@
 
 func newPool(connect Dial) *pool { return &pool{connect: connect} }
 
-// get returns an idle connection that is not known to be broken, or opens a new one.
-func (p *pool) get(ctx context.Context, address string, now time.Time) (*connection, error) {
+// recordRefusal records that the call with an ID was refused on the connection.
+func (c *connection) recordRefusal(id string) {
+	if c.refused == nil {
+		c.refused = map[string]struct{}{}
+	}
+	c.refused[id] = struct{}{}
+}
+
+// hasRefused reports whether the call with an ID was refused on the connection.
+func (c *connection) hasRefused(id string) bool {
+	_, refused := c.refused[id]
+	return refused
+}
+
+// get returns an idle connection that is not known to be broken, or opens a new one. No call with
+// the ID was refused on it.
+func (p *pool) get(ctx context.Context, address, id string, now time.Time) (*connection, error) {
 	for {
 		c, generation := p.pop(address)
 		if c == nil {
 			return p.dial(ctx, address, generation)
 		}
-		if now.Sub(c.lastUse) < c.idle && isReusable(c.Conn) {
+		if now.Sub(c.lastUse) < c.idle && !c.hasRefused(id) && isReusable(c.Conn) {
 			return c, nil
 		}
 		_ = c.Close()
@@ -106,8 +127,8 @@
 }
 
 // put keeps a connection for the next call. idle is the upstream's idle timeout; 0 if it is
-// not specified. A connection to an outdated address, of an earlier generation or with
-// unread input is closed.
+// not specified. A connection to an outdated address, of an earlier generation, with unread input
+// or with too many refusals is closed.
 func (p *pool) put(c *connection, address string, idle time.Duration, now time.Time) {
 	if idle > 0 {
 		c.idle = time.Duration(idleTimeoutFraction * float64(idle))
@@ -115,7 +136,7 @@
 	c.lastUse, c.fresh = now, false
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.address != address || c.generation != p.generation || c.reader.Buffered() > 0 {
+	if p.address != address || c.generation != p.generation || c.reader.Buffered() > 0 || len(c.refused) > maxRefusals {
 		_ = c.Close()
 		return
 	}
--- a/internal/proxy/executor/pool_test.go
+++ b/internal/proxy/executor/pool_test.go
@@ -25,7 +25,7 @@
 			return dialer.DialContext(ctx, "tcp", address)
 		})
 		now := time.Now()
-		first, err := p.get(context.Background(), address, now)
+		first, err := p.get(context.Background(), address, "", now)
 		So(err, ShouldBeNil)
 		upstream, err := l.Accept()
 		So(err, ShouldBeNil)
@@ -33,7 +33,7 @@
 		p.put(first, address, 0, now)
 
 		Convey("reuses it while it has no input", func() {
-			again, err := p.get(context.Background(), address, now)
+			again, err := p.get(context.Background(), address, "", now)
 			So(err, ShouldBeNil)
 			So(again, ShouldEqual, first)
 		})
@@ -43,7 +43,7 @@
 			for isReusable(first.Conn) {
 				runtime.Gosched()
 			}
-			next, err := p.get(context.Background(), address, now)
+			next, err := p.get(context.Background(), address, "", now)
 			So(err, ShouldBeNil)
 			So(next, ShouldNotEqual, first)
 		})
@@ -85,15 +85,15 @@
 			return near, nil
 		})
 		now := time.Now()
-		former, err := p.get(context.Background(), "a", now)
+		former, err := p.get(context.Background(), "a", "", now)
 		So(err, ShouldBeNil)
 		p.drop()
 		p.put(former, "a", 0, now)
-		next, err := p.get(context.Background(), "a", now)
+		next, err := p.get(context.Background(), "a", "", now)
 		So(err, ShouldBeNil)
 		So(next, ShouldNotEqual, former)
 		p.put(next, "a", 0, now)
-		again, err := p.get(context.Background(), "a", now)
+		again, err := p.get(context.Background(), "a", "", now)
 		So(err, ShouldBeNil)
 		So(again, ShouldEqual, next)
 	})
