--- a/internal/proxy/assembler/stop_test.go
+++ b/internal/proxy/assembler/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -194,3 +195,113 @@
 		So(a.Header.Get("X-Server-Stamp"), ShouldEqual, "late")
 	})
 }
+
+// workUntilTimeout makes an upstream run each call for the given time, but no longer than the call's
+// timeout, at which it answers with status 504.
+func workUntilTimeout(work time.Duration) func(http.ResponseWriter, *http.Request) bool {
+	return func(w http.ResponseWriter, r *http.Request) bool {
+		timeout, err := time.ParseDuration(r.Header.Get("X-Timeout-Ms") + "ms")
+		if err != nil {
+			return false
+		}
+		w.Header().Set("X-Server-Stamp", "s")
+		if work > timeout {
+			time.Sleep(timeout)
+			w.WriteHeader(http.StatusGatewayTimeout)
+			return true
+		}
+		time.Sleep(work)
+		return true
+	}
+}
+
+// sentDuringStop is a call that was sent while a node stopped.
+type sentDuringStop struct {
+	id       string
+	response mesh.Response
+}
+
+// sendDuringStop stops a node and makes calls at it each interval until it has ended: half of them
+// on new connections, the others on kept ones.
+func sendDuringStop(n *mesh.Node, method, path string, interval time.Duration) []sentDuringStop {
+	var mu sync.Mutex
+	var sent []sentDuringStop
+	record := func(id string, response mesh.Response) {
+		mu.Lock()
+		defer mu.Unlock()
+		sent = append(sent, sentDuringStop{id, response})
+	}
+	ended := make(chan struct{})
+	var calls sync.WaitGroup
+	for i := range 4 {
+		calls.Go(func() { callOnKeptConnection(n, method, path, fmt.Sprintf("kept-%d", i), ended, record) })
+	}
+	go func() {
+		defer close(ended)
+		n.Proxy.Stop("test")
+	}()
+	for i := 0; ; i++ {
+		select {
+		case <-ended:
+			calls.Wait()
+			return sent
+		case <-time.After(interval):
+		}
+		calls.Go(func() {
+			id := fmt.Sprintf("new-%d", i)
+			record(id, n.Call(method, host, path, id, 5*time.Second))
+		})
+	}
+}
+
+// callOnKeptConnection makes one call after the other on a connection, and on a new one if that ends,
+// until the node has ended.
+func callOnKeptConnection(n *mesh.Node, method, path, name string, ended <-chan struct{}, record func(string, mesh.Response)) {
+	for i := 0; ; i++ {
+		conn, err := n.Connect()
+		if err != nil {
+			return
+		}
+		for response := (mesh.Response{}); response.Err == nil && response.Header.Get("Connection") != "close"; i++ {
+			select {
+			case <-ended:
+				_ = conn.Close()
+				return
+			case <-time.After(30 * time.Millisecond):
+			}
+			id := fmt.Sprintf("%s-%d", name, i)
+			if err := conn.Send(mesh.Request(method, host, path, id, 5*time.Second)); err != nil {
+				break
+			}
+			response = conn.Receive(method)
+			record(id, response)
+		}
+		_ = conn.Close()
+	}
+}
+
+// A node stops as planned, and calls come until it is gone, also late in its grace period, some of
+// them longer than what is left. Each one that an upstream got has that upstream's answer, and none
+// is cut off; each one that is refused has not run.
+func TestCallsSentUntilTheEndOfStopAreNotCutOff(t *testing.T) {
+	for _, work := range []time.Duration{10 * time.Millisecond, 900 * time.Millisecond, 2500 * time.Millisecond, 4500 * time.Millisecond} {
+		for _, call := range []struct{ method, path string }{{http.MethodGet, readPrefix}, {http.MethodPost, orderPrefix}} {
+			inMesh(t, []string{"x", "y"}, func(m *mesh.Mesh) {
+				for _, n := range m.Nodes {
+					n.Upstream.SetBehaviour(0, workUntilTimeout(work))
+				}
+				near := m.Nodes[0]
+				for _, s := range sendDuringStop(near, call.method, call.path, 40*time.Millisecond) {
+					ran, r := runCount(m, s.id), s.response
+					stamped := r.Header.Get("X-Server-Stamp") != ""
+					switch {
+					case ran > 0 && (r.Err != nil || !stamped):
+						t.Errorf("%v, %s %s: ran %d times, status %d, error %v", work, call.method, s.id, ran, r.Status, r.Err)
+					case ran == 0 && r.Err == nil && r.Status != http.StatusServiceUnavailable:
+						t.Errorf("%v, %s %s: not run, status %d", work, call.method, s.id, r.Status)
+					}
+				}
+			})
+		}
+	}
+}
