executor: the caution after a restart ends with the first call, however that ends

An upstream that never answers the first calls after a restart would have got three calls at a time until their deadlines.

--- a/internal/proxy/executor/executor.go
+++ b/internal/proxy/executor/executor.go
@@ -29,8 +29,8 @@
 	// sent. Only an idempotent call is sent again, and only if the previous
 	// connection failed before any byte of an answer.
 	maxConnectionsTried = 3
-	// unprovenSlots is how many calls a restarted node sends at once until the upstream has
-	// answered one: it may have named a rate limit before, which the new process does not know.
+	// unprovenSlots is how many calls a restarted node sends at once until the first one has
+	// ended: the upstream may have named a rate limit before, which the new process does not know.
 	unprovenSlots = 3
 )
 
@@ -78,7 +78,7 @@
 	running          map[string]*running
 	unreachableUntil time.Time
 	limit            limitState
-	// unproven holds until the first answer after a restart of the node.
+	// unproven holds until the first call after a restart of the node has ended.
 	unproven bool
 	// wake advances the queue when the rate limit lets the next call start; nil before the first
 	// use.
@@ -428,6 +428,7 @@
 		e.recordLimit(upstream.Incarnation(), result.head.RateLimit, now)
 		e.recordDrain(upstream, result.head.Draining)
 	}
+	e.prove()
 	if result.Reason == carrier.WrongEndpoint {
 		e.markAbsent(upstream.Incarnation())
 	}
--- a/internal/proxy/executor/ratelimit.go
+++ b/internal/proxy/executor/ratelimit.go
@@ -48,7 +48,6 @@
 	if changed {
 		e.applyLimit(limit, now)
 	}
-	e.prove(now)
 	e.mu.Unlock()
 	if changed {
 		e.config.Observe.RateLimited(limit)
@@ -65,12 +64,14 @@
 	e.scheduleAdvance(now)
 }
 
-// prove ends the caution after a restart. The caller holds the lock.
-func (e *Executor) prove(now time.Time) {
+// prove ends the caution after a restart of the node.
+func (e *Executor) prove() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	if !e.unproven {
 		return
 	}
 	e.unproven = false
 	e.queue.Slots = e.usableSlots()
-	e.advance(now)
+	e.advance(time.Now())
 }
