--- a/internal/proxy/executor/executor.go
+++ b/internal/proxy/executor/executor.go
@@ -101,121 +101,6 @@
 	kind  string
 }
 
-// Heartbeat updates the state of the upstream from a heartbeat and returns what changed.
-func (e *Executor) Heartbeat(h tracker.Heartbeat, now time.Time) tracker.Verdict {
-	e.mu.Lock()
-	before := e.tracker.Current()
-	verdict := e.tracker.Accept(h, now)
-	if verdict != tracker.Outdated {
-		e.applyUpstream(before, now)
-	}
-	e.mu.Unlock()
-	if verdict == tracker.Changed {
-		e.config.Changed()
-	}
-	return verdict
-}
-
-// Deregister deregisters an instance, which is draining from then on. Born is when the
-// instance started, in Unix milliseconds; 0 if not specified.
-func (e *Executor) Deregister(instance string, born int64, now time.Time) tracker.Verdict {
-	e.mu.Lock()
-	before := e.tracker.Current()
-	verdict := e.tracker.Deregister(instance, born, now)
-	if verdict == tracker.Changed {
-		e.applyUpstream(before, now)
-	}
-	e.mu.Unlock()
-	if verdict == tracker.Changed {
-		e.config.Changed()
-	}
-	return verdict
-}
-
-// MarkDraining records that an incarnation of the upstream has been draining since the
-// given time, and returns what changed.
-func (e *Executor) MarkDraining(incarnation tracker.Incarnation, since, now time.Time) tracker.Verdict {
-	e.mu.Lock()
-	before := e.tracker.Current()
-	verdict := e.tracker.MarkDraining(incarnation, since, now)
-	if verdict == tracker.Changed {
-		e.applyUpstream(before, now)
-	}
-	e.mu.Unlock()
-	if verdict == tracker.Changed {
-		e.config.Changed()
-	}
-	return verdict
-}
-
-// applyUpstream applies the latest state of the upstream to the queue and the
-// connections. A new incarnation gets new connections; when an upstream begins to drain,
-// the queued calls are refused. The caller holds the lock.
-func (e *Executor) applyUpstream(before tracker.Upstream, now time.Time) {
-	current := e.tracker.Current()
-	if before.Instance != current.Instance || before.Born != current.Born {
-		e.pool.drop()
-		e.unreachableUntil = time.Time{}
-		e.limit = limitState{}
-		e.queue.UnlimitRate(now)
-		e.unproven = e.unproven && before.Instance == ""
-	}
-	if current.State == tracker.Draining && before.State != tracker.Draining {
-		e.queue.RefuseAll()
-	}
-	e.queue.Slots = e.usableSlots()
-	e.advance(now)
-}
-
-// usableSlots returns the number of calls that may run at the upstream at once. The caller holds
-// the lock.
-func (e *Executor) usableSlots() int {
-	slots := e.tracker.Current().Slots
-	if e.unproven {
-		return min(slots, unprovenSlots)
-	}
-	return slots
-}
-
-// advance gives slots to the calls that may start, and sets the timer for the next one. The caller
-// holds the lock.
-func (e *Executor) advance(now time.Time) {
-	e.queue.Advance(now)
-	e.scheduleAdvance(now)
-}
-
-// scheduleAdvance sets the timer for the next call that the rate limit delays. It must be called
-// after each change of the queue. The caller holds the lock.
-func (e *Executor) scheduleAdvance(now time.Time) {
-	delay, waits := e.queue.NextStart(now)
-	switch {
-	case !waits:
-	case e.wake == nil:
-		e.wake = time.AfterFunc(delay, e.wakeQueue)
-	default:
-		e.wake.Reset(delay)
-	}
-}
-
-func (e *Executor) wakeQueue() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.advance(time.Now())
-}
-
-// release frees the slot of a ticket. The caller holds the lock.
-func (e *Executor) release(ticket *queuer.Ticket, answered bool, now time.Time) {
-	e.queue.Release(ticket, answered, now)
-	e.scheduleAdvance(now)
-}
-
-// Upstream returns the latest known state of the upstream.
-func (e *Executor) Upstream() tracker.Upstream {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.tracker.Current()
-}
-
 // Load returns the current load of the upstream.
 func (e *Executor) Load(now time.Time) balancer.Load {
 	e.mu.Lock()
@@ -306,80 +191,6 @@
 	return call.kind, true
 }
 
-// enqueue adds the ticket to the queue. If the upstream can't take the call, it returns
-// the refusal and true instead.
-func (e *Executor) enqueue(ticket *queuer.Ticket, job Job, now time.Time) (carrier.Result, bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if reason := e.refusalReason(job.Service, now); reason != "" {
-		return carrier.Refuse(reason), true
-	}
-	e.queue.Offer(ticket, now)
-	e.scheduleAdvance(now)
-	return carrier.Result{}, false
-}
-
-// refusalReason returns why the upstream can't take calls of a service now; empty if it
-// can. The caller holds the lock.
-func (e *Executor) refusalReason(service string, now time.Time) carrier.Reason {
-	current := e.tracker.Current()
-	switch {
-	case e.stopping:
-		return carrier.Stopping
-	case current.State == tracker.Absent:
-		return carrier.NoEndpoint
-	case current.Service != service:
-		return carrier.WrongEndpoint
-	case current.State == tracker.Draining && now.Sub(current.DrainingSince) > e.drainingTime():
-		return carrier.Draining
-	case now.Before(e.unreachableUntil):
-		return carrier.UpstreamUnreachable
-	}
-	return ""
-}
-
-// drainingTime returns how long a draining upstream still gets calls.
-func (e *Executor) drainingTime() time.Duration {
-	return time.Duration(drainingFraction * float64(e.config.DrainTime))
-}
-
-// awaitSlot waits until the ticket gets a slot. If it gets none, or if the context ends
-// first, awaitSlot returns the refusal and true.
-func (e *Executor) awaitSlot(ctx context.Context, ticket *queuer.Ticket) (carrier.Result, bool) {
-	select {
-	case refusal := <-ticket.Settled:
-		return refusalResult(refusal)
-	case <-ctx.Done():
-	}
-	e.mu.Lock()
-	withdrawn := e.queue.Withdraw(ticket)
-	e.mu.Unlock()
-	if withdrawn {
-		return carrier.Refuse(reasonOf(ctx)), true
-	}
-	// The queue has settled the ticket in the meantime. A slot is returned unused.
-	result, wasRefused := refusalResult(<-ticket.Settled)
-	if wasRefused {
-		return result, true
-	}
-	e.mu.Lock()
-	e.release(ticket, false, time.Now())
-	e.mu.Unlock()
-	return carrier.Refuse(reasonOf(ctx)), true
-}
-
-// refusalResult returns the result for a refusal of the queue; false if the ticket got
-// a slot.
-func refusalResult(refusal *queuer.Refusal) (carrier.Result, bool) {
-	if refusal == nil {
-		return carrier.Result{}, false
-	}
-	if refusal.Closed {
-		return carrier.Refuse(carrier.Draining), true
-	}
-	return carrier.Result{Outcome: carrier.NotRun, Reason: carrier.WaitTooLong, Wait: refusal.Wait}, true
-}
-
 // run sends a call that has a slot. An idempotent call is sent again on another
 // connection if a reused one failed before any byte of an answer. Once it was sent, a
 // refusal no longer states that it has not run.
@@ -399,13 +210,6 @@
 	return carrier.Fail(carrier.AnswerBroken)
 }
 
-// countResend counts the next send of a call that has a slot against the rate limit.
-func (e *Executor) countResend() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.queue.CountResend(time.Now())
-}
-
 // runOnce sends a call on one connection. It also reports whether that was a reused one that
 // failed before any byte of an answer.
 func (e *Executor) runOnce(ctx context.Context, job Job, deadline time.Time) (carrier.Result, bool) {
@@ -435,48 +239,6 @@
 	return result.Result, result.stale
 }
 
-// recordDrain marks the upstream as draining if an answer of it states so. Its heartbeats may say
-// so later, or never.
-func (e *Executor) recordDrain(upstream tracker.Upstream, stated bool) {
-	if !stated || upstream.State == tracker.Draining {
-		return
-	}
-	now := time.Now()
-	if e.MarkDraining(upstream.Incarnation(), now, now) == tracker.Changed {
-		e.config.Observe.DrainStated(e.Upstream())
-	}
-}
-
-// markUnreachable starts the backoff after a connection could not be opened, unless the
-// context has ended or another incarnation of the upstream has taken over meanwhile. It
-// returns the refusal of the call.
-func (e *Executor) markUnreachable(ctx context.Context, incarnation tracker.Incarnation, now time.Time) carrier.Result {
-	if ctx.Err() != nil {
-		return carrier.Refuse(reasonOf(ctx))
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.tracker.Current().Incarnation() == incarnation {
-		e.unreachableUntil = now.Add(unreachableBackoff)
-	}
-	return carrier.Refuse(carrier.UpstreamUnreachable)
-}
-
-// markAbsent records that another instance has the address of an incarnation of the
-// upstream, and refuses the queued calls. It does nothing if a later incarnation has taken
-// over meanwhile.
-func (e *Executor) markAbsent(incarnation tracker.Incarnation) {
-	e.mu.Lock()
-	marked := e.tracker.MarkAbsent(incarnation, time.Now())
-	if marked {
-		e.queue.RefuseAll()
-	}
-	e.mu.Unlock()
-	if marked {
-		e.config.Changed()
-	}
-}
-
 // Stop refuses new and queued calls. Calls in flight continue.
 func (e *Executor) Stop() {
 	e.mu.Lock()
