subscriber: one loop asks other nodes, also for a node without a version

The loop that polled other nodes while neither store nor relay served does nothing that the checks of each second do not do; without it all tests pass (its mutant had survived since the checks). It goes, and a node without a version asks each 0.25 s as before, now any three nodes instead of one after the other. Two mutants are shown by stricter tests: a starting node must not even begin with the store's older version, and a node asks other zones whatever its relays say (1.3 s, with up to two that do not reply).

--- a/internal/proxy/assembler/restore_test.go
+++ b/internal/proxy/assembler/restore_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -176,6 +177,11 @@
 				time.Sleep(time.Second)
 				for _, n := range started {
 					So(n.Proxy.Version(), ShouldEqual, 5)
+					// The first version of the new process is the one of its peers.
+					log := n.Log.String()
+					log = log[strings.LastIndex(log, `"event":"started"`):]
+					So(log[strings.Index(log, `"event":"inForce"`):], ShouldContainSubstring, `"version":5`)
+					So(strings.Count(log, `"event":"inForce"`), ShouldEqual, 1)
 				}
 				So(started[0].Call(http.MethodGet, host, readPrefix, "newest", time.Second).Status, ShouldEqual, http.StatusOK)
 				So(nodeThatRan(m, "newest").Upstream.Service, ShouldEqual, "b")
--- a/internal/proxy/subscriber/exchange.go
+++ b/internal/proxy/subscriber/exchange.go
@@ -40,7 +40,7 @@
 	data, err := s.decode(reply.Message)
 	if err != nil {
 		s.config.Observe.Unusable(source, err)
-		if reply, err = s.requestSince(ctx, r, 0, peerPollTimeout); err != nil {
+		if reply, err = s.requestSince(ctx, r, 0, wholeRequestTimeout); err != nil {
 			return
 		}
 		if data, err = s.decode(reply.Message); err != nil {
--- a/internal/proxy/subscriber/relays.go
+++ b/internal/proxy/subscriber/relays.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/tamarackscale/tamarackscale/internal/kernel/pauser"
@@ -136,43 +137,22 @@
 	return s.request(ctx, relay, relayPollTimeout)
 }
 
-// pollPeers requests changes from other nodes while neither the store nor a relay
-// provides them, and while the node has no version because it can't decode the store's: the
-// others may have an earlier one. It stays with a node until that node has nothing to
-// provide.
-func (s *Subscriber) pollPeers(ctx context.Context) {
-	turn := 0
-	for pauser.Pause(ctx, peerPollInterval) {
-		lacksVersion := s.Version() == 0 && s.hasRejected()
-		if !lacksVersion && (s.watchingStore.Load() || !s.needsStore()) {
-			continue
-		}
-		peers := s.config.Peers()
-		if len(peers) == 0 {
-			continue
-		}
-		peer := Relay{Address: peers[turn%len(peers)]}
-		reply, err := s.request(ctx, peer, peerPollTimeout)
-		if err != nil || (!reply.Subscribed && reply.Version == 0) {
-			turn++
-		}
-		if err == nil {
-			s.applyReply(ctx, peer, reply, "peer")
-		}
-	}
-}
-
 // checkPeers requests a newer version from some other node, each peerCheckInterval. What the node
 // believes of its relays and of its watch does not matter for this: they may receive no changes
 // without having noticed, or the store may hold an older version than the others have in force, if
-// it has come back from an older copy.
+// it has come back from an older copy. A node without a version asks any nodes, and more often: the
+// store may not respond, or hold one that this release can't decode.
 func (s *Subscriber) checkPeers(ctx context.Context) {
 	random := rand.New(rand.NewPCG(s.config.Seed, 0))
-	for pauser.Pause(ctx, peerCheckInterval) {
-		// A node without a version would receive the whole configuration from each node.
-		if s.Version() != 0 {
-			s.consultOne(ctx, choose(s.config.RemotePeers(), checkedPeers, random))
+	for {
+		interval, peers := peerCheckInterval, s.config.RemotePeers
+		if s.Version() == 0 {
+			interval, peers = peerPollInterval, s.config.Peers
+		}
+		if !pauser.Pause(ctx, interval) {
+			return
 		}
+		s.consultOne(ctx, choose(slices.Clone(peers()), checkedPeers, random))
 	}
 }
 
--- a/internal/proxy/subscriber/subscriber.go
+++ b/internal/proxy/subscriber/subscriber.go
@@ -6,8 +6,9 @@
 // others poll both: these two are the relays of the zone.
 // A node whose relays do not reply, or receive no changes themselves, watches the store
 // itself. Whatever it follows, each node also asks some node of another zone at short intervals,
-// so that a zone whose relays have lost the store without noticing is not late. While the store is unavailable too, it polls other nodes, one at a time. A
-// starting node waits a short time for the relays; when the whole system starts for the
+// so that a zone whose relays have lost the store, perhaps without noticing, is not late.
+//
+// A starting node waits a short time for the relays; when the whole system starts for the
 // first time, it waits until the nodes have discovered each other. If it has no version then,
 // it requests one from other nodes before it contacts the store, since a store that has come
 // back from an older copy may hold an older version than the one in force.
@@ -47,11 +48,11 @@
 	minTakeoverDelay      = 500 * time.Millisecond
 	takeoverDelayStep     = 100 * time.Millisecond
 	maxTakeoverDelaySteps = 20
-	// peerPollTimeout is how long another node may hold a request until it has a newer
-	// version.
-	peerPollTimeout = time.Second
-	// peerPollInterval is the interval between requests to other nodes, and the backoff
-	// after a relay failed to reply or receives no changes itself.
+	// wholeRequestTimeout is how much longer than other requests one for the whole configuration
+	// may take.
+	wholeRequestTimeout = time.Second
+	// peerPollInterval is the backoff after a relay failed to reply or receives no changes itself,
+	// and the interval between requests to other nodes of a node without a version.
 	peerPollInterval = 250 * time.Millisecond
 	// peerCheckInterval is the interval between the checks of whether nodes of other
 	// availability zones have a newer version, and checkedPeers the number of nodes that one
@@ -243,7 +244,6 @@
 	case <-ctx.Done():
 		return
 	}
-	go s.pollPeers(ctx)
 	go s.checkPeers(ctx)
 	go s.followHints(ctx)
 	for i := range relayCount {
--- a/internal/proxy/subscriber/subscriber_test.go
+++ b/internal/proxy/subscriber/subscriber_test.go
@@ -384,3 +384,48 @@
 		})
 	})
 }
+
+// Both relays of a zone say that they receive changes, but none reaches them. Whatever the node
+// believes of them, it must get a version that another zone has, although some nodes of that do not
+// reply.
+func TestNodeAsksOtherZonesWhateverItsRelaysSay(t *testing.T) {
+	const bound = peerCheckInterval + (checkedPeers-1)*consultDelay
+	for silent := range checkedPeers {
+		synctest.Test(t, func(t *testing.T) {
+			Convey(fmt.Sprintf("%d of %d nodes of another zone do not reply", silent, checkedPeers), t, func() {
+				remote := newRelease(9)
+				remote.apply([]byte("1"), storeSource, keeper.Position{Revision: 1})
+				s := newRelease(9)
+				s.apply([]byte("1"), "relay", keeper.Position{Revision: 1})
+				s.config.Store = &hangingStore{}
+				s.config.OwnAddress = "own"
+				s.config.Relays = func() []Relay { return []Relay{{Address: "relay"}, {Address: "own"}} }
+				s.config.RemotePeers = func() []string { return []string{"r0", "r1", "r2"} }
+				s.config.Request = func(ctx context.Context, address string, args forwarder.ConfigurationArgs) (forwarder.ConfigurationReply, error) {
+					ctx, cancel := context.WithTimeout(ctx, args.Wait)
+					defer cancel()
+					switch {
+					case address == "relay":
+						<-ctx.Done()
+						return forwarder.ConfigurationReply{Subscribed: true}, nil
+					case address < fmt.Sprintf("r%d", silent):
+						time.Sleep(time.Second)
+						return forwarder.ConfigurationReply{}, errors.New("no reply")
+					}
+					return remote.Next(ctx, args.Have), nil
+				}
+				discovered := make(chan struct{})
+				close(discovered)
+				s.config.Discovered = discovered
+				ctx, cancel := context.WithCancel(context.Background())
+				go s.Run(ctx)
+				time.Sleep(10*time.Second + time.Millisecond)
+				remote.apply([]byte("2"), storeSource, keeper.Position{Revision: 2})
+				time.Sleep(bound)
+				So(s.Version(), ShouldEqual, 2)
+				cancel()
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
