--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -135,13 +135,7 @@
 // buildStoreClients builds the components that use the platform's store.
 func (p *Proxy) buildStoreClients(s *reader.Settings) {
 	p.transport = &http.Transport{
-		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-			// The transport continues a dial after the call that needed the connection
-			// was cancelled, so the dial needs a timeout of its own.
-			ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-			defer cancel()
-			return p.network.Dial(ctx, address)
-		},
+		DialContext:        p.dialStore,
 		DisableCompression: true, MaxIdleConnsPerHost: 2,
 	}
 	store := connector.New(connector.Config{
@@ -159,6 +153,14 @@
 	})
 }
 
+// dialStore opens a connection to the store. The transport continues a dial after the call that
+// needed the connection was cancelled, so the dial has a timeout of its own.
+func (p *Proxy) dialStore(ctx context.Context, _, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	return p.network.Dial(ctx, address)
+}
+
 // Start opens the listeners and serves in the background. Cancelling the context ends
 // the finder and the subscriber; Close or Stop ends the rest. It returns an error if a
 // listener can't be opened; what was started until then runs until Close.
