review: a script for the repeated sends

The same disruption against separate processes: all endpoints of a service reset the connections of 0.4 of their runs for 4 s, twice.

--- a/review/fleet/scenarios.go
+++ b/review/fleet/scenarios.go
@@ -26,12 +26,13 @@
 	readsPerSecond = 400
 	readTimeout    = 1200 * time.Millisecond
 	readWork       = 90 * time.Millisecond
+	readTime       = 22 * time.Second
 	// lostShare is the share of the runs whose answer is lost at a disturbed endpoint.
 	lostShare = 0.4
 	// lossTime is how long one disturbance lasts, lossGap the pause until the next.
 	lossTime = 4 * time.Second
 	lossGap  = time.Second
-	losses   = 3
+	losses   = 2
 )
 
 // resends plays endpoints that reset connections instead of sending answers.
@@ -41,7 +42,7 @@
 	read := route{host: "hulo84.example", prefix: "/leny950/", kind: "idempotent", service: "templates", timeout: 1.2}
 	f.configure(7, []route{read})
 	var lossy atomic.Bool
-	for _, n := range f.nodes[1:3] {
+	for _, n := range f.nodes[:4] {
 		n.endpoint.ending = func() outcome {
 			if lossy.Load() && rand.Float64() < lostShare {
 				return resets
@@ -57,13 +58,13 @@
 		for i := range losses {
 			time.Sleep(time.Until(begin.Add(5*time.Second + time.Duration(i)*(lossTime+lossGap))))
 			lossy.Store(trouble)
-			r.note("two of four endpoints lose answers: %v", trouble)
+			r.note("all endpoints lose answers: %v", trouble)
 			time.Sleep(lossTime)
 			lossy.Store(false)
 			r.note("no endpoint loses answers")
 		}
 	}()
-	f.driveAll(http.MethodGet, read, readsPerSecond, readTimeout, begin.Add(26*time.Second))
+	f.driveAll(http.MethodGet, read, readsPerSecond, readTimeout, begin.Add(readTime))
 	return r.overBudget("templates"), nil
 }
 
