review: one missing service of a traffic split takes down its route

A refused call is known again by method, host and target alone and goes to the service that refused it. When the service with weight 10 of a split has no endpoint, each call to the same path takes the refusal of the one before, is refused too and leaves its own.

--- a/review/fleet/main.go
+++ b/review/fleet/main.go
@@ -31,6 +31,7 @@
 
 var scenarios = map[string]scenario{
 	"resends":     resends,
+	"canary":      canary,
 	"drain":       drain,
 	"uploads":     uploads,
 	"reuse":       reuse,
--- a/review/fleet/node.go
+++ b/review/fleet/node.go
@@ -162,6 +162,18 @@
 type route struct {
 	host, prefix, kind, service string
 	timeout                     float64
+	// other is a second service that gets otherWeight percent of the requests; empty if there is none.
+	other       string
+	otherWeight int
+}
+
+// destination returns where the route leads to, as the configuration states it.
+func (r route) destination() string {
+	if r.other == "" {
+		return fmt.Sprintf(`"service":%q`, r.service)
+	}
+	return fmt.Sprintf(`"weighted_backends":[{"service":%q,"weight":%d},{"service":%q,"weight":%d}]`,
+		r.service, 100-r.otherWeight, r.other, r.otherWeight)
 }
 
 // configure writes a configuration as the operator does.
@@ -170,8 +182,8 @@
 	var listeners, services []string
 	for i, r := range routes {
 		listeners = append(listeners, fmt.Sprintf(`{"host":%q,"policy":[{"name":"r-%d","kind":%q,"target_latency_s":0.3,"priority":1,`+
-			`"match":{"prefix":%q},"action":{"service":%q,"timeout_s":%g,"max_attempts":2}}]}`,
-			r.host, i, r.kind, r.prefix, r.service, r.timeout))
+			`"match":{"prefix":%q},"action":{%s,"timeout_s":%g,"max_attempts":2}}]}`,
+			r.host, i, r.kind, r.prefix, r.destination(), r.timeout))
 	}
 	for _, n := range f.nodes {
 		if s := n.endpoint.service; !clusters[s] {
