--- a/review/fleet/client.go
+++ b/review/fleet/client.go
@@ -24,20 +24,19 @@
 type callerConn struct {
 	net.Conn
 	reader *bufio.Reader
-	// kept reports whether the connection has had an answer before.
-	kept bool
+	// kept reports whether the connection has had an answer before, the last one at idleSince.
+	kept      bool
+	idleSince time.Time
 }
 
+// maxIdle is how long an idle connection is reused: four fifths of the idle timeout.
+const maxIdle = 12 * time.Second
+
 // take returns an idle connection or opens one.
 func (c *caller) take() (*callerConn, error) {
-	c.mu.Lock()
-	if n := len(c.idle); n > 0 {
-		conn := c.idle[n-1]
-		c.idle = c.idle[:n-1]
-		c.mu.Unlock()
+	if conn := c.pop(); conn != nil {
 		return conn, nil
 	}
-	c.mu.Unlock()
 	conn, err := net.DialTimeout("tcp", c.node.address(callerPort), time.Second)
 	if err != nil {
 		return nil, err
@@ -45,6 +44,21 @@
 	return &callerConn{Conn: conn, reader: bufio.NewReader(conn)}, nil
 }
 
+// pop removes and returns the connection that was used last; nil if there is none that may be reused.
+func (c *caller) pop() *callerConn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for n := len(c.idle); n > 0; n = len(c.idle) {
+		conn := c.idle[n-1]
+		c.idle = c.idle[:n-1]
+		if time.Since(conn.idleSince) < maxIdle {
+			return conn
+		}
+		_ = conn.Close()
+	}
+	return nil
+}
+
 // close closes the idle connections.
 func (c *caller) close() {
 	c.mu.Lock()
@@ -97,7 +111,7 @@
 		_ = conn.Close()
 		return response.StatusCode, err
 	}
-	conn.kept = true
+	conn.kept, conn.idleSince = true, time.Now()
 	c.mu.Lock()
 	c.idle = append(c.idle, conn)
 	c.mu.Unlock()
