--- a/review/fleet/memory.go
+++ b/review/fleet/memory.go
@@ -99,9 +99,11 @@
 			}
 		}()
 	}
+	// Machines of two zones, so that the endpoints of both share the uploads.
+	busy := []*node{f.nodes[4], f.nodes[6]}
 	begin := time.Now()
 	end, burst := begin.Add(24*time.Second), begin.Add(8*time.Second)
-	for _, n := range f.nodes[4:6] {
+	for _, n := range busy {
 		for i := range burstClients {
 			from, until := begin, end
 			if i >= usualClients {
@@ -118,7 +120,7 @@
 			}()
 		}
 	}
-	for _, n := range f.nodes[4:6] {
+	for _, n := range busy {
 		clients.Add(1)
 		go func() {
 			defer clients.Done()
