settings: limits of the VM, and sections that switch quotas, rollouts and hedging on

Cause: the template rendered neither the memory and descriptors of a VM nor the bounds of quotas and rollouts, so that no part of the proxy could keep to them. Change: the sections limits, quotas, rollouts and hedging, validated. Absent ones are nil, and nothing reads them yet.

--- a/internal/settings/reader/reader.go
+++ b/internal/settings/reader/reader.go
@@ -30,6 +30,11 @@
 	// Listen.Control, each IP:port. Invalid ones are ignored.
 	Seeds  []string `yaml:"seeds"`
 	Bounds Bounds   `yaml:"bounds"`
+	Limits Limits   `yaml:"limits"`
+	// Quotas, Rollouts and Hedging switch their features on; nil if they are off.
+	Quotas   *Quotas   `yaml:"quotas"`
+	Rollouts *Rollouts `yaml:"rollouts"`
+	Hedging  *Hedging  `yaml:"hedging"`
 }
 
 // Node identifies the node. ID, IP and AvailabilityZone are required.
@@ -82,6 +87,40 @@
 	RetryWindow decoder.Duration `yaml:"repeatWindow"`
 }
 
+// Limits are the resources of the VM that the process may use.
+type Limits struct {
+	// Memory is in megabytes; 0 if unknown.
+	Memory int `yaml:"memory"`
+	// Descriptors is the number of open file descriptors; 0 means the limit of the process.
+	Descriptors int `yaml:"descriptors"`
+}
+
+// Quotas bounds by how much the calls of a client account may exceed its quota in any period of
+// Window, over all nodes: by the fraction Excess of the quota, and by Slack calls.
+type Quotas struct {
+	// Window is 1s to 1h.
+	Window decoder.Duration `yaml:"window"`
+	Excess float64          `yaml:"excess"`
+	Slack  float64          `yaml:"slack"`
+}
+
+// Rollouts bounds what a faulty version of a service may receive while it is rolled out.
+type Rollouts struct {
+	// ExposureShare is the fraction of the service's calls during the rollout that may go to the
+	// version, above 0 and at most 1; ExposureSlack is a number of calls beyond that.
+	ExposureShare float64 `yaml:"exposureShare"`
+	ExposureSlack float64 `yaml:"exposureSlack"`
+	// RollbackTime is the time from the failures that show the fault until no call may go to the
+	// version; 100ms to 1h.
+	RollbackTime decoder.Duration `yaml:"rollbackTime"`
+}
+
+// Hedging bounds the additional calls that hedging makes.
+type Hedging struct {
+	// ExtraWork is the fraction of a service's calls that hedges may add; 0 to 1.
+	ExtraWork float64 `yaml:"extraWork"`
+}
+
 // Load reads and validates a settings file. If the file can be read but its content is
 // invalid, the error is a collector.Findings with all findings.
 func Load(path string) (*Settings, error) {
@@ -128,6 +167,10 @@
 	c.Address("platform.address", s.Platform.Address)
 	checkPorts(c, s.Listen.Ports)
 	checkBounds(c, s.Bounds)
+	checkLimits(c, s.Limits)
+	checkQuotas(c, s.Quotas)
+	checkRollouts(c, s.Rollouts)
+	checkHedging(c, s.Hedging)
 }
 
 func checkPorts(c *collector.Collector, ports []int) {
@@ -181,3 +224,44 @@
 		c.Add("bounds.repeatRatio", "repeatRatio and repeatSlack must be numbers that are not negative")
 	}
 }
+
+func checkLimits(c *collector.Collector, l Limits) {
+	if l.Memory < 0 {
+		c.Add("limits.memory", "must not be negative")
+	}
+	if l.Descriptors < 0 {
+		c.Add("limits.descriptors", "must not be negative")
+	}
+}
+
+func checkQuotas(c *collector.Collector, q *Quotas) {
+	if q == nil {
+		return
+	}
+	c.Range("quotas.window", q.Window.Std(), time.Second, time.Hour)
+	if !isNonNegative(q.Excess) || !isNonNegative(q.Slack) {
+		c.Add("quotas.excess", "excess and slack must be numbers that are not negative")
+	}
+}
+
+func checkRollouts(c *collector.Collector, r *Rollouts) {
+	if r == nil {
+		return
+	}
+	if !isFraction(r.ExposureShare) || r.ExposureShare == 0 {
+		c.Add("rollouts.exposureShare", "must be above 0 and at most 1")
+	}
+	if !isNonNegative(r.ExposureSlack) {
+		c.Add("rollouts.exposureSlack", "must be a number that is not negative")
+	}
+	c.Range("rollouts.rollbackTime", r.RollbackTime.Std(), 100*time.Millisecond, time.Hour)
+}
+
+func checkHedging(c *collector.Collector, h *Hedging) {
+	if h != nil && !isFraction(h.ExtraWork) {
+		c.Add("hedging.extraWork", "must be a number from 0 to 1")
+	}
+}
+
+// isFraction is false for NaN too.
+func isFraction(x float64) bool { return x >= 0 && x <= 1 }
--- a/internal/settings/reader/reader_test.go
+++ b/internal/settings/reader/reader_test.go
@@ -92,6 +92,14 @@
 		{"bounds.repeatRatio", "repeatSlack: 56", "repeatSlack: .nan"},
 		{"node.linkRate", `availabilityZone: "z"`, `availabilityZone: "z", linkRate: .nan`},
 		{"listen.ports", "[7000,7015]", "[7000,65536]"},
+		{"limits.memory", "seeds:", "limits: {memory: -1}\nseeds:"},
+		{"limits.descriptors", "seeds:", "limits: {descriptors: -1}\nseeds:"},
+		{"quotas.window", "seeds:", "quotas: {window: 0s}\nseeds:"},
+		{"quotas.excess", "seeds:", "quotas: {window: 5s, excess: .nan}\nseeds:"},
+		{"rollouts.exposureShare", "seeds:", "rollouts: {exposureShare: 0, rollbackTime: 5s}\nseeds:"},
+		{"rollouts.exposureSlack", "seeds:", "rollouts: {exposureShare: 0.1, exposureSlack: -1, rollbackTime: 5s}\nseeds:"},
+		{"rollouts.rollbackTime", "seeds:", "rollouts: {exposureShare: 0.1}\nseeds:"},
+		{"hedging.extraWork", "seeds:", "hedging: {extraWork: 1.5}\nseeds:"},
 	}
 	Convey("Each is a finding", t, func() {
 		for _, c := range cases {
@@ -101,3 +109,24 @@
 		}
 	})
 }
+
+// Guards against a feature that is switched on for a deployment whose settings do not name it.
+func TestFeaturesAreOffUnlessSet(t *testing.T) {
+	Convey("Absent sections are nil, present ones hold their values", t, func() {
+		s, err := Parse("f", []byte(validSettings))
+		So(err, ShouldBeNil)
+		So(s.Quotas, ShouldBeNil)
+		So(s.Rollouts, ShouldBeNil)
+		So(s.Hedging, ShouldBeNil)
+		s, err = Parse("f", []byte(validSettings+`limits: {memory: 184, descriptors: 4100}
+quotas: {window: 5s, excess: 0.1, slack: 20}
+rollouts: {exposureShare: 0.1, exposureSlack: 50, rollbackTime: 5s}
+hedging: {extraWork: 0.02}
+`))
+		So(err, ShouldBeNil)
+		So(s.Limits, ShouldResemble, Limits{Memory: 184, Descriptors: 4100})
+		So(s.Quotas.Window.Std(), ShouldEqual, 5*time.Second)
+		So(s.Rollouts.ExposureShare, ShouldEqual, 0.1)
+		So(s.Hedging.ExtraWork, ShouldEqual, 0.02)
+	})
+}
