--- a/internal/proxy/forwarder/peer.go
+++ b/internal/proxy/forwarder/peer.go
@@ -233,7 +233,7 @@
 // closed.
 func (p *peer) call(ctx context.Context, l *connection, method string, args, reply any) error {
 	writesBefore := l.conn.writes.Load()
-	pending := l.Go(serviceName+"."+method, args, reply, make(chan *rpc.Call, 1))
+	pending := l.Go(qualified(method), args, reply, make(chan *rpc.Call, 1))
 	if l.conn.writes.Load() == writesBefore {
 		// Go writes the request before it returns, so a connection without a write since
 		// then was already closed.
