balancer, assembler: calls go to the established version of a service

Cause: upstreams of a new version are started beside the old ones, and nodes sent calls to them before any rollout had begun.

With rollouts in the settings, member records state the version of the upstream. A call goes to the version of the upstream that started first among those known, or to any if no version is known.

--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -64,6 +64,10 @@
 	acceptor   *acceptor.Acceptor
 	subscriber *subscriber.Subscriber
 	finder     *finder.Finder
+	// messenger exchanges member records with other nodes.
+	messenger finder.Messenger
+	// rollouts is nil unless the settings switch rollouts on.
+	rollouts *rollouts
 
 	transport *http.Transport
 	servers   []*http.Server
@@ -115,6 +119,12 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "register RPC methods for other nodes")
 	}
+	p.messenger = p.forwarder
+	if s.Rollouts != nil {
+		if err := p.buildRollouts(); err != nil {
+			return nil, err
+		}
+	}
 	p.buildStoreClients(s)
 	p.dispatcher = dispatcher.New(dispatcher.Config{
 		Node: s.Node.ID, Service: func() string { return p.settings.Load().Upstream.Service },
@@ -124,6 +134,9 @@
 			Ratio: p.bounds.RetryRatio, Slack: p.bounds.RetrySlack, Window: p.bounds.RetryWindow.Std(),
 		},
 	})
+	if p.rollouts != nil {
+		p.dispatcher.Restrict = p.rollouts.restrict
+	}
 	p.acceptor = acceptor.New(platform.HTTP{}, p.dispatcher, p.telemetry)
 	p.telemetry.OnVersion(p.subscriber.Hint)
 	p.forwarder.OnUnresponsive(func(address string) {
@@ -144,7 +157,7 @@
 		Observe: p.telemetry.StoreCall, EraBegan: p.telemetry.StoreEra,
 	}, p.transport)
 	p.finder = finder.New(finder.Config{
-		Store: store, Directory: p, Messenger: p.forwarder, Observe: p.telemetry,
+		Store: store, Directory: p, Messenger: p.messenger, Observe: p.telemetry,
 		Seeds: s.SeedAddresses(), FirstStart: s.FirstStart, UpstreamKnown: p.known,
 	})
 	p.subscriber = subscriber.New(subscriber.Config{
--- a/internal/proxy/assembler/directory.go
+++ b/internal/proxy/assembler/directory.go
@@ -26,6 +26,9 @@
 	if u.State != tracker.Absent {
 		m.Service, m.Instance, m.Born, m.Slots = u.Service, u.Instance, u.Born, u.Slots
 	}
+	if p.rollouts != nil && u.State != tracker.Absent {
+		m.Version = u.Version[:min(len(u.Version), balancer.MaxVersionBytes)]
+	}
 	if u.State == tracker.Draining {
 		m.DrainStart = u.DrainingSince.UnixMilli()
 	}
--- a/internal/proxy/assembler/drains.go
+++ b/internal/proxy/assembler/drains.go
@@ -128,7 +128,7 @@
 func (p *Proxy) replicateDrain(drain recorder.Drain) int {
 	record := p.drainingMember(drain)
 	replies, _ := callDrainReplicas(p, func(ctx context.Context, address string) (balancer.Member, error) {
-		return p.forwarder.Announce(ctx, address, record)
+		return p.messenger.Announce(ctx, address, record)
 	})
 	// A reply of this node itself is no replica.
 	return len(slices.DeleteFunc(replies, func(m balancer.Member) bool { return m.Node == record.Node }))
--- a/internal/proxy/assembler/mesh_test.go
+++ b/internal/proxy/assembler/mesh_test.go
@@ -11,6 +11,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/tamarackscale/tamarackscale/internal/settings/reader"
 	"github.com/tamarackscale/tamarackscale/standin/mesh"
 )
 
@@ -83,12 +84,18 @@
 // service "b" for each entry of zones. In the tests, near is the node that gets a call from
 // its caller, and far a node whose upstream runs it.
 func inMesh(t *testing.T, zones []string, run func(m *mesh.Mesh)) {
+	inMeshWith(t, nil, zones, run)
+}
+
+// inMeshWith is inMesh with rollouts switched on if the section of the settings is not nil.
+func inMeshWith(t *testing.T, rollouts *reader.Rollouts, zones []string, run func(m *mesh.Mesh)) {
 	log.SetOutput(io.Discard)
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		Convey("a mesh", t, func() {
 			m, err := mesh.New(ctx)
 			So(err, ShouldBeNil)
+			m.Rollouts = rollouts
 			defer func() {
 				cancel()
 				m.Close()
--- a/internal/proxy/balancer/balancer.go
+++ b/internal/proxy/balancer/balancer.go
@@ -100,6 +100,8 @@
 	// SkipFull excludes the candidates that recently shed a call of the class or of a more
 	// urgent one.
 	SkipFull bool
+	// Versions restricts the candidates by the version of their upstreams. The zero value does not.
+	Versions VersionFilter
 }
 
 // Balancer holds the candidates of all services and the statistics about them. It is
@@ -113,11 +115,13 @@
 	deviation map[string]float64
 	members   map[string]*Candidate
 	services  map[string][]*Candidate
+	// established is the established version of each service.
+	established map[string]string
 }
 
 // New returns a balancer without candidates for a node in the given availability zone.
 func New(zone string) *Balancer {
-	return &Balancer{zone: zone, meanBytes: map[string]float64{}, deviation: map[string]float64{}, members: map[string]*Candidate{}, services: map[string][]*Candidate{}}
+	return &Balancer{zone: zone, meanBytes: map[string]float64{}, deviation: map[string]float64{}, members: map[string]*Candidate{}, services: map[string][]*Candidate{}, established: map[string]string{}}
 }
 
 // Update stores the record of a member if it is newer than the known one, and reports
@@ -126,7 +130,10 @@
 // a member older than the one there is not stored.
 func (b *Balancer) Update(m Member) bool {
 	c, known := b.members[m.Node]
-	if (known && !m.Newer(c.Member)) || b.replaced(m) {
+	if known && !m.Newer(c.Member) {
+		return b.learnVersion(c, m)
+	}
+	if b.replaced(m) {
 		return false
 	}
 	if !known || c.Instance != m.Instance || c.Start != m.Start {
@@ -177,6 +184,7 @@
 			b.services[c.Service] = append(b.services[c.Service], c)
 		}
 	}
+	b.rebuildEstablished()
 }
 
 // Members returns the records of all members, in no particular order.
@@ -218,7 +226,7 @@
 	var bestTime time.Duration
 	bestUtility := 0.0
 	for _, c := range b.services[info.Service] {
-		if contains(info.Tried, c.Node) || (info.SkipFull && c.full(info.Class, now)) {
+		if !info.Versions.allows(c.Member) || contains(info.Tried, c.Node) || (info.SkipFull && c.full(info.Class, now)) {
 			continue
 		}
 		expected := b.expectedTime(c, info, now)
--- a/internal/proxy/balancer/balancer_test.go
+++ b/internal/proxy/balancer/balancer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -255,3 +256,66 @@
 		So(pickedZone(b, callOf(1, 600*ms)), ShouldEqual, "y")
 	})
 }
+
+// versioned returns the record of a node whose upstream has a version.
+func versioned(node, version string, born int64) Member {
+	return Member{Node: node, Start: 1, Sequence: 1, Zone: "x", Service: "s", Instance: "i-" + node, Slots: 4, Born: born, Version: version}
+}
+
+// Guards against nodes that take different versions for the established one, and against a version
+// that is lost with a record from a node that does not send versions.
+func TestEstablishedVersion(t *testing.T) {
+	Convey("It is that of the upstream that started first, in whatever order the records come", t, func() {
+		members := []Member{versioned("c", "v2", 3), versioned("a", "v1", 1), versioned("d", "", 0), versioned("b", "v2", 2)}
+		for first := range members {
+			b := New("x")
+			for i := range members {
+				b.Update(members[(first+i)%len(members)])
+			}
+			So(b.EstablishedVersion("s"), ShouldEqual, "v1")
+			So(b.OfVersion("s", "v2"), ShouldHaveLength, 2)
+			draining := versioned("a", "v1", 1)
+			draining.Sequence, draining.Draining = 2, true
+			b.Update(draining)
+			So(b.EstablishedVersion("s"), ShouldEqual, "v2")
+		}
+	})
+	Convey("A record without its version does not hide it", t, func() {
+		b := New("x")
+		b.Update(versioned("a", "", 1))
+		So(b.EstablishedVersion("s"), ShouldBeEmpty)
+		So(b.Update(versioned("a", "v1", 1)), ShouldBeTrue)
+		So(b.Update(versioned("a", "", 1)), ShouldBeFalse)
+		So(b.EstablishedVersion("s"), ShouldEqual, "v1")
+	})
+}
+
+// Guards against calls that reach an upstream of another version than they may.
+func TestVersionFilter(t *testing.T) {
+	cases := []struct {
+		filter VersionFilter
+		nodes  []string
+	}{
+		{VersionFilter{}, []string{"a", "b", "c", "d"}},
+		{VersionFilter{Version: "v1"}, []string{"a", "d"}},
+		{VersionFilter{Version: "v2", Exact: true}, []string{"b", "c"}},
+		{VersionFilter{Version: "v2", Exact: true, Nodes: []string{"c", "a"}}, []string{"c"}},
+	}
+	Convey("Only the upstreams that pass the filter are picked", t, func() {
+		b := New("x")
+		for _, m := range []Member{versioned("a", "v1", 1), versioned("b", "v2", 2), versioned("c", "v2", 3), versioned("d", "", 4)} {
+			b.Update(m)
+		}
+		for _, c := range cases {
+			info := callOf(0, time.Second)
+			info.Versions = c.filter
+			var picked []string
+			for candidate := b.Pick(info, now); candidate != nil; candidate = b.Pick(info, now) {
+				picked = append(picked, candidate.Node)
+				info.Tried = append(info.Tried, candidate.Node)
+			}
+			slices.Sort(picked)
+			So(picked, ShouldResemble, c.nodes)
+		}
+	})
+}
--- a/internal/proxy/balancer/member_gen.go
+++ b/internal/proxy/balancer/member_gen.go
@@ -277,3 +277,54 @@
 	s = 1 + msgp.StringPrefixSize + len(z.Node) + msgp.Int64Size + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Address) + msgp.StringPrefixSize + len(z.Zone) + msgp.Float64Size + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.Instance) + msgp.Int64Size + msgp.IntSize + msgp.Int64Size + msgp.BoolSize + msgp.BoolSize + msgp.Int64Size
 	return
 }
+
+// DecodeMsg implements msgp.Decodable
+func (z *VersionedMember) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	err = z.Member.DecodeMsg(dc)
+	if err != nil {
+		err = msgp.WrapError(err, "Member")
+		return
+	}
+	z.Version, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *VersionedMember) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = z.Member.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "Member")
+		return
+	}
+	err = en.WriteString(z.Version)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *VersionedMember) Msgsize() (s int) {
+	s = 1 + z.Member.Msgsize() + msgp.StringPrefixSize + len(z.Version)
+	return
+}
--- a/internal/proxy/balancer/validate.go
+++ b/internal/proxy/balancer/validate.go
@@ -14,6 +14,8 @@
 	// MaxClockOffset bounds how far a time of another node may lie in the future. The clocks of VMs
 	// differ by much less.
 	MaxClockOffset = time.Hour
+	// MaxVersionBytes is the longest name of a version. Records travel often, so it is short.
+	MaxVersionBytes = 128
 )
 
 // InvalidMemberError reports that a member record has a field that no node writes.
@@ -41,6 +43,7 @@
 		{"Slots", m.Slots >= 0 && m.Slots <= MaxSlots},
 		{"Born", m.Born <= latest.UnixMilli()},
 		{"DrainStart", m.DrainStart >= 0 && m.DrainStart <= latest.UnixMilli()},
+		{"Version", len(m.Version) <= MaxVersionBytes},
 		{"ColdUntil", m.ColdUntil >= 0 && m.ColdUntil <= latest.UnixMilli()},
 	}
 	for _, c := range checks {
--- a/internal/proxy/dispatcher/dispatcher.go
+++ b/internal/proxy/dispatcher/dispatcher.go
@@ -115,6 +115,9 @@
 	// End returns the time by which calls must have ended; zero if there is none. Nil
 	// means that there never is.
 	End func() time.Time
+	// Restrict restricts an attempt to upstreams of a version. It is called with the balancer's
+	// lock held. Nil restricts none.
+	Restrict func(b *balancer.Balancer, info *balancer.PickInfo, now time.Time)
 }
 
 // Dispatcher dispatches calls to upstreams. It implements acceptor.Handler and is safe
@@ -272,6 +275,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
+	d.restrict(&info, now)
 	if retry && (!d.Balancer.Available(info, now) || !d.retrier.Allow(info.Service, d.Balancer.Size(), now)) {
 		return nil, balancer.Member{}
 	}
@@ -316,5 +320,14 @@
 func (d *Dispatcher) hasCapacity(info balancer.PickInfo) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.Balancer.HasCapacity(info, time.Now())
+	now := time.Now()
+	d.restrict(&info, now)
+	return d.Balancer.HasCapacity(info, now)
+}
+
+// restrict applies Restrict to an attempt. The caller holds the lock.
+func (d *Dispatcher) restrict(info *balancer.PickInfo, now time.Time) {
+	if d.Restrict != nil {
+		d.Restrict(d.Balancer, info, now)
+	}
 }
--- a/standin/mesh/mesh.go
+++ b/standin/mesh/mesh.go
@@ -33,6 +33,8 @@
 	Network *network.Network
 	Store   *metastore.Store
 	Nodes   []*Node
+	// Rollouts is the section of the settings of nodes that start from now on; nil if it is absent.
+	Rollouts *reader.Rollouts
 	// ctx ends the store, the upstreams and the proxies.
 	ctx context.Context
 }
@@ -97,6 +99,11 @@
 // Add adds a VM in a zone, and starts its proxy and an upstream of a service. On an
 // error of the proxy the VM is returned nevertheless.
 func (m *Mesh) Add(zone, service string, slots int) (*Node, error) {
+	return m.AddVersion(zone, service, "v1", slots)
+}
+
+// AddVersion is Add for an upstream of a version.
+func (m *Mesh) AddVersion(zone, service, version string, slots int) (*Node, error) {
 	index := len(m.Nodes) + 1
 	n := &Node{
 		Name: fmt.Sprintf("vm-%s-%d", zone, index), Zone: zone, mesh: m, index: index, Log: &Buffer{},
@@ -104,7 +111,7 @@
 	n.proxyHost, n.vmHost = m.Network.Host(n.Name), m.Network.Host(n.Name)
 	n.settings = n.newSettings(service)
 	m.Nodes = append(m.Nodes, n)
-	if err := n.StartUpstream(fmt.Sprintf("i-%d", index), service, slots); err != nil {
+	if err := n.StartVersion(fmt.Sprintf("i-%d", index), service, version, slots); err != nil {
 		return nil, err
 	}
 	return n, n.Start()
@@ -140,6 +147,7 @@
 	n.cancel = cancel
 	settings := *n.settings
 	settings.FirstStart = n.starts == 0
+	settings.Rollouts = n.mesh.Rollouts
 	n.starts++
 	p, err := assembler.New(assembler.Config{Settings: &settings, Output: n.Log, Network: n.proxyHost})
 	if err != nil {
@@ -175,8 +183,13 @@
 // StartUpstream starts an upstream, which replaces the VM's previous one. It returns an
 // error if the address is still in use.
 func (n *Node) StartUpstream(instance, service string, slots int) error {
+	return n.StartVersion(instance, service, "v1", slots)
+}
+
+// StartVersion is StartUpstream for an upstream of a version.
+func (n *Node) StartVersion(instance, service, version string, slots int) error {
 	u := &Upstream{
-		Instance: instance, Service: service, Slots: slots, node: n,
+		Instance: instance, Service: service, Slots: slots, Version: version, node: n,
 		startedAt: time.Now().UnixMilli(), runs: map[string]int{},
 	}
 	l, err := n.vmHost.Listen(n.UpstreamAddress())
--- a/standin/mesh/upstream.go
+++ b/standin/mesh/upstream.go
@@ -16,6 +16,8 @@
 	Instance string
 	Service  string
 	Slots    int
+	// Version is the version that the heartbeats state.
+	Version string
 	// Work is the service time of a call.
 	Work time.Duration
 	// Behave, if not nil, is called first for each call. If it returns true, it has answered
@@ -173,7 +175,7 @@
 	}
 	body, err := json.Marshal(map[string]any{
 		"addr": u.node.UpstreamAddress(), "born": u.startedAt,
-		"info":   map[string]any{"service": u.Service, "version": "v1", "zone": u.node.Zone, "slots": u.Slots},
+		"info":   map[string]any{"service": u.Service, "version": u.Version, "zone": u.node.Zone, "slots": u.Slots},
 		"status": map[string]any{"state": state, "seq": u.seq, "cold_left_s": 0},
 	})
 	instance := u.Instance
