dispatcher: no order of two results loses a success

combine took any first answer other than 500 and 502 for final. If an attempt and its hedge both had answers, a 404 or 504 of the one hid the 200 of the other. TestCombinedResultLosesNoSuccess goes through all pairs in both orders; it failed at 504 and 404.

--- a/internal/proxy/dispatcher/dispatcher_test.go
+++ b/internal/proxy/dispatcher/dispatcher_test.go
@@ -81,6 +81,27 @@
 	})
 }
 
+// Guards against an error that hides the success of an attempt that ran in parallel, whichever of
+// the two ended first: the call of a deletion that has been hedged may be answered 200 and 404.
+func TestCombinedResultLosesNoSuccess(t *testing.T) {
+	answered := func(status int) carrier.Result {
+		return carrier.Result{Outcome: carrier.Run, Answer: carrier.Answer{Status: status}}
+	}
+	// Ordered by what the caller gets if it is one of two results.
+	results := []carrier.Result{
+		carrier.Refuse(carrier.Draining), carrier.Fail(carrier.PeerLost), answered(http.StatusInternalServerError),
+		answered(http.StatusGatewayTimeout), answered(http.StatusNotFound), answered(http.StatusOK),
+	}
+	Convey("In both orders of each pair, the better result is returned", t, func() {
+		for i, worse := range results {
+			for _, better := range results[i:] {
+				So(combine(worse, better, false), ShouldResemble, better)
+				So(combine(better, worse, false), ShouldResemble, better)
+			}
+		}
+	})
+}
+
 // Guards against attempts at further nodes after a refusal in favour of more urgent work:
 // every node would refuse the call for the same reason.
 func TestCallRefusedForUrgentWorkIsNotRetried(t *testing.T) {
--- a/internal/proxy/dispatcher/placement.go
+++ b/internal/proxy/dispatcher/placement.go
@@ -80,22 +80,26 @@
 	}
 }
 
-// combine returns the one of two results that holds for all attempts: an answer takes
-// precedence over a failure, a success over an upstream's error, and a later refusal never
-// hides that the call may have run. Of two refusals, the one with the shorter known wait is
-// returned.
+// combine returns the one of two results that holds for all attempts: a success takes
+// precedence over an error of the caller, that over an error of the upstream, any answer over a
+// failure, and a later refusal never hides that the call may have run. Of two refusals, the one
+// with the shorter known wait is returned.
 func combine(best, next carrier.Result, first bool) carrier.Result {
-	switch {
-	case first:
+	if first {
 		return next
-	case best.Outcome == carrier.Run && !retryable(best.Answer.Status):
-		return best
-	case next.Outcome == carrier.Run:
+	}
+	bestGrade, nextGrade := gradeOf(best), gradeOf(next)
+	switch {
+	case bestGrade != nextGrade:
+		if bestGrade > nextGrade {
+			return best
+		}
 		return next
-	case best.Outcome == carrier.Run || best.Outcome == carrier.Unknown:
+	case bestGrade != refused:
+		if bestGrade == transientError {
+			return next
+		}
 		return best
-	case next.Outcome == carrier.Unknown:
-		return next
 	case best.Wait > 0 && (next.Wait == 0 || best.Wait < next.Wait):
 		return best
 	default:
@@ -103,6 +107,40 @@
 	}
 }
 
+// grade orders results by how much they are worth to the caller.
+type grade int
+
+// The grades. Results of attempts that ran in parallel are compared by them, since either may
+// have ended first.
+const (
+	// refused: the call has not run.
+	refused grade = iota
+	// unknown: the call may have run.
+	unknown
+	// transientError: the upstream's error, which another upstream may not have.
+	transientError
+	upstreamError
+	callerError
+	success
+)
+
+func gradeOf(r carrier.Result) grade {
+	switch {
+	case r.Outcome == carrier.NotRun:
+		return refused
+	case r.Outcome == carrier.Unknown:
+		return unknown
+	case retryable(r.Answer.Status):
+		return transientError
+	case r.Answer.Status >= http.StatusInternalServerError:
+		return upstreamError
+	case r.Answer.Status >= http.StatusBadRequest:
+		return callerError
+	default:
+		return success
+	}
+}
+
 // isFinal reports whether the result is an answer that no further attempt may replace.
 func (p *placement) isFinal(r carrier.Result) bool {
 	return r.Outcome == carrier.Run && !(p.match.Idempotent && retryable(r.Answer.Status))
