dispatcher, retrier: a retry that reaches no upstream is not charged

Nodes that are full, draining or unreachable are still tried as a last resort, and a retry that such a node refused kept its charge although no upstream had received it. The charge is returned now, to the window in which it was taken.

--- a/internal/proxy/dispatcher/dispatcher.go
+++ b/internal/proxy/dispatcher/dispatcher.go
@@ -268,18 +268,32 @@
 
 // choose picks the node for the next attempt, and returns nil if there is none. A retry must
 // fit the retry budget of the service, and counts against it if there is a node for it.
-func (d *Dispatcher) choose(info balancer.PickInfo, retry bool) (*balancer.Candidate, balancer.Member) {
+func (d *Dispatcher) choose(info balancer.PickInfo, retry bool) (*balancer.Candidate, balancer.Member, retrier.Charge) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	if retry && (!d.Balancer.Available(info, now) || !d.retrier.Allow(info.Service, d.Balancer.Size(), now)) {
-		return nil, balancer.Member{}
+	var charge retrier.Charge
+	if retry {
+		allowed := d.Balancer.Available(info, now)
+		if allowed {
+			charge, allowed = d.retrier.Take(info.Service, d.Balancer.Size(), now)
+		}
+		if !allowed {
+			return nil, balancer.Member{}, retrier.Charge{}
+		}
 	}
 	c := d.Balancer.Pick(info, now)
 	if c == nil {
-		return nil, balancer.Member{}
+		return nil, balancer.Member{}, retrier.Charge{}
 	}
-	return c, c.Member
+	return c, c.Member, charge
+}
+
+// returnCharge returns the charge for a retry that reached no upstream to the budget.
+func (d *Dispatcher) returnCharge(c retrier.Charge) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.retrier.Return(c, time.Now())
 }
 
 // recordOutcome passes the outcome of an attempt to the balancer.
--- a/internal/proxy/dispatcher/dispatcher_test.go
+++ b/internal/proxy/dispatcher/dispatcher_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/tamarackscale/tamarackscale/internal/proxy/balancer"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/executor"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/forwarder"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/retrier"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/router"
@@ -136,11 +137,50 @@
 		})
 		info := balancer.PickInfo{Service: "s", Kind: "k", Objective: time.Second, Remaining: time.Second}
 		for range 10 {
-			none, _ := d.choose(info, true)
+			none, _, _ := d.choose(info, true)
 			So(none, ShouldBeNil)
 		}
 		d.Balancer.Update(balancer.Member{Node: "n", Start: 1, Sequence: 1, Zone: "x", Service: "s", Instance: "i", Slots: 4})
-		c, _ := d.choose(info, true)
+		c, _, _ := d.choose(info, true)
 		So(c, ShouldNotBeNil)
 	})
 }
+
+// Guards against a retry budget that is spent at nodes that pass no call to an upstream: full and
+// unreachable ones are tried as a last resort.
+func TestRetryThatReachesNoUpstreamIsNotCharged(t *testing.T) {
+	Convey("Calls that one upstream has failed and the other nodes refuse leave the budget whole", t, func() {
+		d := New(Config{
+			Node: "own", Service: func() string { return "caller" }, Observe: noObserver{}, Forward: refusingForwarder{failing: "n-1"},
+			Balancer: balancer.New("x"), Budget: retrier.Budget{Slack: 4, Window: 10 * time.Second},
+		})
+		for _, node := range []string{"n-1", "n-2"} {
+			d.Balancer.Update(balancer.Member{Node: node, Start: 1, Sequence: 1, Zone: "x", Service: "s", Instance: "i", Slots: 4})
+		}
+		for range 10 {
+			p := &placement{
+				d: d, match: router.Match{Service: "s", Route: &router.Route{Name: "k", Idempotent: true, MaxAttempts: 3}},
+				received: time.Now(), timeout: time.Minute, objective: time.Second, event: &Event{},
+			}
+			p.place(context.Background())
+			So(p.event.Attempts, ShouldHaveLength, 2)
+		}
+	})
+}
+
+// refusingForwarder returns a failure of the upstream for attempts to one node, and refuses all
+// others before they reach an upstream.
+type refusingForwarder struct{ failing string }
+
+func (f refusingForwarder) Forward(_ context.Context, m balancer.Member, _ executor.Job, _ bool) forwarder.RunReply {
+	if m.Node == f.failing {
+		return forwarder.RunReply{Result: carrier.Fail(carrier.AnswerBroken)}
+	}
+	return forwarder.RunReply{Result: carrier.Refuse(carrier.PeerUnreachable)}
+}
+
+// noObserver ignores all events.
+type noObserver struct{}
+
+func (noObserver) Ended(Event)                  {}
+func (noObserver) ObserveVersion(int64, string) {}
--- a/internal/proxy/dispatcher/placement.go
+++ b/internal/proxy/dispatcher/placement.go
@@ -11,6 +11,7 @@
 	"github.com/tamarackscale/tamarackscale/internal/proxy/executor"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/forwarder"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/queuer"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/retrier"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/router"
 )
 
@@ -51,6 +52,8 @@
 	candidate *balancer.Candidate
 	member    balancer.Member
 	began     time.Time
+	// charge is that of a retry; the zero value for the first attempt.
+	charge retrier.Charge
 	// last means that no further upstream may receive the call if this one does.
 	last bool
 }
@@ -197,14 +200,14 @@
 	if len(p.tried) >= maxNodes {
 		return pendingAttempt{}, false
 	}
-	candidate, member := p.d.choose(p.pickInfo(), p.delivered+p.inFlight > 0)
+	candidate, member, charge := p.d.choose(p.pickInfo(), p.delivered+p.inFlight > 0)
 	if candidate == nil {
 		return pendingAttempt{}, false
 	}
 	p.tried = append(p.tried, member.Node)
 	p.inFlight++
 	last := !p.match.Idempotent || p.delivered+p.inFlight >= p.match.MaxAttempts
-	return pendingAttempt{candidate: candidate, member: member, began: time.Now(), last: last}, true
+	return pendingAttempt{candidate: candidate, member: member, began: time.Now(), charge: charge, last: last}, true
 }
 
 // run makes the attempt and records its outcome.
@@ -242,6 +245,9 @@
 	}
 	outcome.Bytes = len(p.call.Body) + len(r.Answer.Body)
 	p.d.recordOutcome(a.candidate, outcome)
+	if r.Outcome == carrier.NotRun && !r.Arrived {
+		p.d.returnCharge(a.charge)
+	}
 	p.d.Observe.ObserveVersion(reply.Version, a.member.Address)
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/proxy/retrier/retrier.go
+++ b/internal/proxy/retrier/retrier.go
@@ -82,16 +82,40 @@
 	w.calls[w.last%(buckets+1)]++
 }
 
+// Charge is a retry that was counted against the budget of a service. The zero value is none.
+type Charge struct {
+	service string
+	// bucket is the number of the bucket in which the retry counts.
+	bucket int64
+}
+
 // Allow reports whether a retry fits this node's share of the budget, and counts it if
 // so. The slack is divided among the given number of nodes.
 func (r *Retrier) Allow(service string, nodes int, now time.Time) bool {
+	_, allowed := r.Take(service, nodes, now)
+	return allowed
+}
+
+// Take does the same as Allow and returns the charge for the retry.
+func (r *Retrier) Take(service string, nodes int, now time.Time) (Charge, bool) {
 	w := r.window(service, now)
 	allowed := directFraction * (r.budget.Ratio*sum(w.calls) + r.budget.Slack/float64(max(1, nodes)))
 	if sum(w.retries)+1 > allowed {
-		return false
+		return Charge{}, false
 	}
 	w.retries[w.last%(buckets+1)]++
-	return true
+	return Charge{service: service, bucket: w.last}, true
+}
+
+// Return cancels the charge for a retry that reached no upstream. It must be called at most once
+// for each charge.
+func (r *Retrier) Return(c Charge, now time.Time) {
+	if c.service == "" {
+		return
+	}
+	if w := r.window(c.service, now); w.last-c.bucket <= buckets {
+		w.retries[c.bucket%(buckets+1)]--
+	}
 }
 
 func sum(values [buckets + 1]float64) float64 {
--- a/internal/proxy/retrier/retrier_test.go
+++ b/internal/proxy/retrier/retrier_test.go
@@ -57,6 +57,30 @@
 	})
 }
 
+// Guards against charges that are returned after they have left the window, which would allow
+// more retries than the budget.
+func TestReturnedChargeCountsOnceAtMost(t *testing.T) {
+	budget := Budget{Slack: 4, Window: 10 * time.Second}
+	Convey("A returned charge is available again, one of an earlier window is not", t, func() {
+		r := New(budget)
+		now := time.Unix(1000, 0)
+		first, _ := r.Take("s", 1, now)
+		So(r.Allow("s", 1, now), ShouldBeTrue)
+		So(r.Allow("s", 1, now), ShouldBeFalse)
+		now = now.Add(2 * time.Second)
+		r.Return(first, now)
+		second, allowed := r.Take("s", 1, now)
+		So(allowed, ShouldBeTrue)
+		So(r.Allow("s", 1, now), ShouldBeFalse)
+		now = now.Add(2 * budget.Window)
+		r.Return(second, now)
+		r.Return(Charge{}, now)
+		So(r.Allow("s", 1, now), ShouldBeTrue)
+		So(r.Allow("s", 1, now), ShouldBeTrue)
+		So(r.Allow("s", 1, now), ShouldBeFalse)
+	})
+}
+
 // Guards against a jump of the time of day that renews a spent budget or keeps it spent.
 func TestStepOfClockDoesNotChangeTheBudget(t *testing.T) {
 	budget := Budget{Slack: 56, Window: 10 * time.Second}
