dispatcher, executor: a withdrawn attempt is no sample of its upstream

An attempt ends with callerGone if its caller disconnected or if its hedge answered first. How long it had lasted entered the mean service time at the balancer and at the upstream's queue, which then shed calls that it could serve. These samples were the only sign of an upstream that hangs while hedges answer for it. It is ejected now after three attempts in a row that hedges have overtaken, without an answer in between.

--- a/internal/proxy/balancer/balancer.go
+++ b/internal/proxy/balancer/balancer.go
@@ -50,6 +50,9 @@
 	// sampleTTL is how long a service time above the mean of the other upstreams is used.
 	// After that the lower mean applies, so that the upstream is tried again.
 	sampleTTL = 4 * time.Second
+	// maxOvertaken is the number of attempts in a row that later ones have overtaken after which
+	// an upstream without an answer in between counts as hanging. One or two may be slow calls.
+	maxOvertaken = 3
 	// fullTTL is how long an upstream counts as full after it shed a call.
 	fullTTL = 60 * time.Millisecond
 )
@@ -65,6 +68,9 @@
 	load          Load
 	loadAt        time.Time
 	serviceTimes  map[string]serviceTime
+	// overtaken is the number of attempts since the last answer that a later attempt at another
+	// upstream has overtaken.
+	overtaken int
 	// ejections is the number of ejections since the last answer.
 	ejections     int
 	failureRate   float64
@@ -271,6 +277,9 @@
 	Unreachable bool
 	// Full reports whether the node's queue or the upstream shed the call.
 	Full bool
+	// Overtaken reports whether the attempt was withdrawn because one at another upstream that
+	// began later has answered first.
+	Overtaken bool
 	// Load is the load received with the result; nil if there is none.
 	Load *Load
 }
@@ -287,7 +296,7 @@
 	}
 	switch {
 	case o.Answered:
-		c.ejections = 0
+		c.ejections, c.overtaken = 0, 0
 		c.failureRate = (1 - smoothing) * c.currentFailureRate(now)
 		c.failureRateAt = now
 		b.recordDeviation(o.Kind, c.serviceTimes[o.Kind].mean, o.UpstreamTime)
@@ -295,6 +304,10 @@
 		b.meanBytes[o.Kind] += smoothing * (float64(o.Bytes) - b.meanBytes[o.Kind])
 	case o.Unreachable:
 		c.eject(now)
+	case o.Overtaken:
+		if c.overtaken++; c.overtaken%maxOvertaken == 0 {
+			c.eject(now)
+		}
 	case o.Failed:
 		rate := c.currentFailureRate(now)
 		c.failureRate, c.failureRateAt = rate+smoothing*(1-rate), now
--- a/internal/proxy/balancer/balancer_test.go
+++ b/internal/proxy/balancer/balancer_test.go
@@ -255,3 +255,22 @@
 		So(pickedZone(b, callOf(1, 600*ms)), ShouldEqual, "y")
 	})
 }
+
+// Guards against calls that go on to an upstream that hangs: attempts that hedges have overtaken are
+// no samples of its service time, and none of them ends in a failure.
+func TestOvertakenUpstreamIsEjected(t *testing.T) {
+	Convey("An upstream that hedges have overtaken in a row is a last resort, one that answers is not", t, func() {
+		b, now := New("x"), time.Unix(1000, 0)
+		b.Update(Member{Node: "hanging", Start: 1, Sequence: 1, Zone: "x", Service: "s", Instance: "i", Slots: 4})
+		info := PickInfo{Service: "s", Kind: "k", Objective: time.Second, Remaining: time.Second}
+		lose := func() { b.Done(b.Pick(info, now), Outcome{Kind: "k", Overtaken: true}, now) }
+		lose()
+		lose()
+		b.Done(b.Pick(info, now), Outcome{Kind: "k", Answered: true, UpstreamTime: time.Millisecond}, now)
+		lose()
+		lose()
+		So(b.HasCapacity(info, now), ShouldBeTrue)
+		lose()
+		So(b.HasCapacity(info, now), ShouldBeFalse)
+	})
+}
--- a/internal/proxy/dispatcher/dispatcher_test.go
+++ b/internal/proxy/dispatcher/dispatcher_test.go
@@ -179,6 +179,32 @@
 	return forwarder.RunReply{Result: carrier.Refuse(carrier.PeerUnreachable)}
 }
 
+// Guards against callers that disconnect early, or hedges that are faster, making an upstream seem
+// slow or failing.
+func TestWithdrawnAttemptSaysNothingAboutUpstream(t *testing.T) {
+	Convey("Neither mean service time nor utility of the upstream change", t, func() {
+		reply := forwarder.RunReply{Result: carrier.Fail(carrier.CallerGone), UpstreamTime: time.Minute}
+		d := New(Config{Observe: noObserver{}, Balancer: balancer.New("x")})
+		d.Balancer.Update(balancer.Member{Node: "n", Start: 1, Sequence: 1, Zone: "x", Service: "s", Instance: "i", Slots: 4})
+		p := &placement{
+			d: d, match: router.Match{Service: "s", Route: &router.Route{Name: "k", Idempotent: true, MaxAttempts: 3}},
+			timeout: time.Minute, event: &Event{},
+		}
+		record := func(began time.Time, reply forwarder.RunReply) {
+			c, m, _ := d.choose(balancer.PickInfo{Service: "s", Kind: "k"}, false)
+			p.recordOutcome(context.Background(), pendingAttempt{candidate: c, member: m, began: began}, reply)
+		}
+		answer := carrier.Result{Outcome: carrier.Run, Answer: carrier.Answer{Status: http.StatusOK}, Arrived: true}
+		record(time.Now(), forwarder.RunReply{Result: answer, UpstreamTime: 20 * time.Millisecond})
+		for range 20 {
+			record(time.Now().Add(-time.Minute), reply)
+		}
+		mean, _ := d.meanServiceTime("s", "k")
+		So(mean, ShouldEqual, 20*time.Millisecond)
+		So(d.hasCapacity(balancer.PickInfo{Service: "s", Kind: "k", Remaining: time.Second}), ShouldBeTrue)
+	})
+}
+
 // noObserver ignores all events.
 type noObserver struct{}
 
--- a/internal/proxy/dispatcher/hedge.go
+++ b/internal/proxy/dispatcher/hedge.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
 )
 
@@ -16,6 +18,10 @@
 	noHedge = time.Hour
 )
 
+// errOvertaken is the cause of the end of an attempt that another one, which began later, has
+// overtaken.
+var errOvertaken = errors.New("a hedge has answered first")
+
 // hedgeDelay returns how long an idempotent call waits for its first upstream before it
 // is sent to a second one. That an upstream hangs or that its answer is lost can only
 // be detected by the missing answer. The result is noHedge if the call must not reach a
@@ -34,8 +40,8 @@
 // runHedged makes the attempt and, if it has no result after the delay, a second one at
 // another node. The first final result cancels the other attempt.
 func (p *placement) runHedged(ctx context.Context, a pendingAttempt, delay time.Duration) carrier.Result {
-	firstCtx, cancelFirst := context.WithCancel(ctx)
-	defer cancelFirst()
+	firstCtx, cancelFirst := context.WithCancelCause(ctx)
+	defer cancelFirst(nil)
 	secondCtx, cancelSecond := context.WithCancel(ctx)
 	defer cancelSecond()
 	var second carrier.Result
@@ -44,7 +50,7 @@
 	timer := time.AfterFunc(delay, func() {
 		defer close(done)
 		if second, hedged = p.hedge(secondCtx); hedged && p.isFinal(second) {
-			cancelFirst()
+			cancelFirst(errOvertaken)
 		}
 	})
 	first := p.run(firstCtx, a)
--- a/internal/proxy/dispatcher/placement.go
+++ b/internal/proxy/dispatcher/placement.go
@@ -212,7 +212,7 @@
 
 // run makes the attempt and records its outcome.
 func (p *placement) run(ctx context.Context, a pendingAttempt) carrier.Result {
-	return p.recordOutcome(a, p.send(ctx, a, p.job()))
+	return p.recordOutcome(ctx, a, p.send(ctx, a, p.job()))
 }
 
 // job returns the job of an attempt that begins now.
@@ -234,14 +234,19 @@
 }
 
 // recordOutcome updates the balancer and the placement with the reply to an attempt, and
-// returns the result.
-func (p *placement) recordOutcome(a pendingAttempt, reply forwarder.RunReply) carrier.Result {
+// returns the result. The context is that of the attempt. An attempt that was withdrawn shows
+// neither a failure nor a service time of its upstream.
+func (p *placement) recordOutcome(ctx context.Context, a pendingAttempt, reply forwarder.RunReply) carrier.Result {
 	r := reply.Result
 	outcome := outcomeOf(reply, p.match.Name)
 	outcome.Class = p.class()
-	outcome.Elapsed = reply.UpstreamTime
-	if r.Outcome == carrier.Unknown {
+	switch {
+	case r.Reason == carrier.CallerGone:
+		outcome.Overtaken = context.Cause(ctx) == errOvertaken
+	case r.Outcome == carrier.Unknown:
 		outcome.Elapsed = time.Since(a.began)
+	default:
+		outcome.Elapsed = reply.UpstreamTime
 	}
 	outcome.Bytes = len(p.call.Body) + len(r.Answer.Body)
 	p.d.recordOutcome(a.candidate, outcome)
--- a/internal/proxy/executor/executor.go
+++ b/internal/proxy/executor/executor.go
@@ -148,7 +148,11 @@
 	now = time.Now()
 	e.mu.Lock()
 	e.finished(job.Call.ID)
-	e.release(ticket, isServiceTimeSample(result), now)
+	if result.Reason == carrier.CallerGone {
+		e.abandon(ticket, now)
+	} else {
+		e.release(ticket, isServiceTimeSample(result), now)
+	}
 	e.mu.Unlock()
 	return result, now.Sub(started)
 }
--- a/internal/proxy/executor/pool_test.go
+++ b/internal/proxy/executor/pool_test.go
@@ -1,14 +1,17 @@
 package executor
 
 import (
+	"bufio"
 	"context"
 	"net"
 	"runtime"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/tracker"
 )
 
@@ -98,3 +101,31 @@
 		So(again, ShouldEqual, next)
 	})
 }
+
+// A caller disconnects while its call runs. How long it waited must not count as the service time of
+// the upstream.
+func TestWithdrawnCallIsNoSample(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("The queue keeps its estimate, and the slot is free", t, func() {
+			e := New(Config{Dialect: silentDialect{}, Changed: func() {}, Dial: func(context.Context, string) (net.Conn, error) {
+				near, _ := net.Pipe()
+				return near, nil
+			}})
+			e.Heartbeat(tracker.Heartbeat{Instance: "i", Sequence: 1, Service: "s", Address: "a", Slots: 1}, time.Now())
+			before := e.queue.ServiceTime("k")
+			ctx, cancel := context.WithCancel(context.Background())
+			time.AfterFunc(10*time.Second, cancel)
+			result, _ := e.Execute(ctx, Job{Service: "s", Kind: "k", Objective: time.Minute, Remaining: time.Minute})
+			So(result.Reason, ShouldEqual, carrier.CallerGone)
+			So(e.queue.ServiceTime("k"), ShouldEqual, before)
+			So(e.queue.InUse(), ShouldEqual, 0)
+		})
+	})
+}
+
+// silentDialect writes calls to nobody and waits for answers without end.
+type silentDialect struct{}
+
+func (silentDialect) EncodeCall(*bufio.Writer, UpstreamRequest) error { return nil }
+
+func (silentDialect) DecodeAnswer(*bufio.Reader, string) (Head, error) { return Head{}, net.ErrClosed }
--- a/internal/proxy/executor/slots.go
+++ b/internal/proxy/executor/slots.go
@@ -50,6 +50,12 @@
 	e.scheduleAdvance(now)
 }
 
+// abandon frees the slot of a ticket whose call was withdrawn. The caller holds the lock.
+func (e *Executor) abandon(ticket *queuer.Ticket, now time.Time) {
+	e.queue.Abandon(ticket, now)
+	e.scheduleAdvance(now)
+}
+
 // enqueue adds the ticket to the queue. If the upstream can't take the call, it returns
 // the refusal and true instead.
 func (e *Executor) enqueue(ticket *queuer.Ticket, job Job, now time.Time) (carrier.Result, bool) {
@@ -83,7 +89,7 @@
 		return result, true
 	}
 	e.mu.Lock()
-	e.release(ticket, false, time.Now())
+	e.abandon(ticket, time.Now())
 	e.mu.Unlock()
 	return carrier.Refuse(reasonOf(ctx)), true
 }
--- a/internal/proxy/queuer/queuer.go
+++ b/internal/proxy/queuer/queuer.go
@@ -305,6 +305,16 @@
 	q.Advance(now)
 }
 
+// Abandon frees the slot of a ticket whose call was withdrawn while it ran. How long its caller
+// waited says nothing about the service time.
+func (q *Queue) Abandon(t *Ticket, now time.Time) {
+	if _, runs := q.running[t]; !runs {
+		return
+	}
+	delete(q.running, t)
+	q.Advance(now)
+}
+
 func (q *Queue) recordServiceTime(kind string, sample time.Duration) {
 	mean, known := q.serviceTimes[kind]
 	if !known {
--- a/internal/proxy/queuer/queuer_test.go
+++ b/internal/proxy/queuer/queuer_test.go
@@ -373,3 +373,20 @@
 		So(q.Waits(at(0))[0], ShouldBeGreaterThan, 0)
 	})
 }
+
+// Guards against the patience of callers, or a hedge that was faster, being taken for the service
+// time of the upstream: the queue would shed calls that it can serve.
+func TestWithdrawnCallIsNoSampleOfServiceTime(t *testing.T) {
+	Convey("The slot is free, and the mean service time is unchanged", t, func() {
+		q, now := New(), time.Unix(1000, 0)
+		q.Slots = 1
+		first := NewTicket("k", 1, false, now.Add(time.Second), now.Add(time.Second))
+		q.Offer(first, now)
+		q.Release(first, true, now.Add(20*time.Millisecond))
+		second := NewTicket("k", 1, false, now.Add(time.Minute), now.Add(time.Minute))
+		q.Offer(second, now)
+		q.Abandon(second, now.Add(10*time.Second))
+		So(q.InUse(), ShouldEqual, 0)
+		So(q.ServiceTime("k"), ShouldEqual, 20*time.Millisecond)
+	})
+}
