executor, retrier: resends on reset connections are within the retry budget

Executor.run sent an idempotent call on up to three connections if reused ones ended before the first byte of an answer, whatever the retry budget said. An upstream that runs calls and resets the connections got them again from its own node, beyond the retries of the callers' nodes. A call is sent at most twice now, the second time on a new connection: without condition if no byte of it was written to the first one (it can't have run, so this holds for calls that are not idempotent too), else only if it is idempotent and a tenth of the budget, by the calls that this node received, allows it. The callers' half of the budget is unchanged.

--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -105,6 +105,7 @@
 	p.executor = executor.New(executor.Config{
 		Dialect: platform.HTTP{}, Dial: p.network.Dial, DrainTime: p.bounds.DrainTime.Std(), Changed: p.publishSelf,
 		Observe: p.telemetry, Restarted: !s.FirstStart,
+		Budget: budgetOf(p.bounds), Members: p.memberCount,
 		Admit: func(kind string, rank int, now time.Time) (time.Duration, bool) {
 			return p.dispatcher.Admit(kind, rank, now)
 		},
@@ -120,9 +121,7 @@
 		Node: s.Node.ID, Service: func() string { return p.settings.Load().Upstream.Service },
 		Table: p.subscriber.Table, Forward: p.forwarder, Execute: p.executor, Observe: p.telemetry,
 		Balancer: balancer.New(s.Node.AvailabilityZone), End: p.callsEnd,
-		Budget: retrier.Budget{
-			Ratio: p.bounds.RetryRatio, Slack: p.bounds.RetrySlack, Window: p.bounds.RetryWindow.Std(),
-		},
+		Budget: budgetOf(p.bounds),
 	})
 	p.acceptor = acceptor.New(platform.HTTP{}, p.dispatcher, p.telemetry)
 	p.telemetry.OnVersion(p.subscriber.Hint)
@@ -133,6 +132,18 @@
 	return p, nil
 }
 
+// budgetOf returns the retry budget that the bounds name.
+func budgetOf(b reader.Bounds) retrier.Budget {
+	return retrier.Budget{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow.Std()}
+}
+
+// memberCount returns the number of members, this node included.
+func (p *Proxy) memberCount() int {
+	count := 0
+	p.dispatcher.WithBalancer(func(b *balancer.Balancer) { count = b.Size() })
+	return count
+}
+
 // buildStoreClients builds the components that use the platform's store.
 func (p *Proxy) buildStoreClients(s *reader.Settings) {
 	p.transport = &http.Transport{
--- a/internal/proxy/executor/exchange.go
+++ b/internal/proxy/executor/exchange.go
@@ -24,7 +24,10 @@
 	// stale reports whether a reused connection failed before the first byte of an
 	// answer.
 	stale bool
-	head  Head
+	// unsent reports whether the connection failed before a byte of the call was written, so that
+	// the upstream has not received it.
+	unsent bool
+	head   Head
 }
 
 // answered reports whether the upstream itself has answered or refused the call.
@@ -54,6 +57,7 @@
 // roundTrip writes a call and reads its answer. It also reports whether the connection
 // can be reused.
 func (e *Executor) roundTrip(c *connection, request UpstreamRequest) (exchangeResult, bool) {
+	before := c.written.count.Load()
 	written := make(chan error, 1)
 	if len(request.Call.Body) > concurrentWriteBytes {
 		go func() { written <- e.send(c, request) }()
@@ -61,6 +65,15 @@
 		written <- e.send(c, request)
 	}
 	result, reusable := e.receive(c, request)
+	if result.stale {
+		// Closing ends a write in progress.
+		_ = c.Close()
+		err := <-written
+		if result.unsent = err != nil && c.written.count.Load() == before; result.unsent {
+			result.Result = carrier.Refuse(carrier.UpstreamUnreachable)
+		}
+		return result, false
+	}
 	select {
 	case err := <-written:
 		if err != nil {
--- a/internal/proxy/executor/executor.go
+++ b/internal/proxy/executor/executor.go
@@ -12,6 +12,7 @@
 	"github.com/tamarackscale/tamarackscale/internal/proxy/balancer"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/queuer"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/retrier"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/tracker"
 )
 
@@ -25,10 +26,6 @@
 	// deadlineMargin extends the deadline so that an answer which the upstream sends
 	// at the deadline still arrives.
 	deadlineMargin = 15 * time.Millisecond
-	// maxConnectionsTried is the maximum number of connections on which one call is
-	// sent. Only an idempotent call is sent again, and only if the previous
-	// connection failed before any byte of an answer.
-	maxConnectionsTried = 3
 	// unprovenSlots is how many calls a restarted node sends at once until the first one has
 	// ended: the upstream may have named a rate limit before, which the new process does not know.
 	unprovenSlots = 3
@@ -51,6 +48,10 @@
 	// Restarted reports whether a former process of the node may have sent calls to the
 	// upstream.
 	Restarted bool
+	// Budget is the retry budget of a service, of which resends use a part, and Members returns
+	// the number of nodes that share it.
+	Budget  retrier.Budget
+	Members func() int
 }
 
 // Observer is notified of what the answers of the upstream state about it.
@@ -78,6 +79,8 @@
 	running          map[string]*running
 	unreachableUntil time.Time
 	limit            limitState
+	// resends counts the calls that the node has received, and their resends.
+	resends *retrier.Retrier
 	// unproven holds until the first call after a restart of the node has ended.
 	unproven bool
 	// wake advances the queue when the rate limit lets the next call start; nil before the first
@@ -90,7 +93,7 @@
 func New(config Config) *Executor {
 	return &Executor{
 		config: config, dialect: config.Dialect, pool: newPool(config.Dial), tracker: tracker.New(), queue: queuer.New(),
-		running: map[string]*running{}, unproven: config.Restarted,
+		running: map[string]*running{}, unproven: config.Restarted, resends: retrier.NewResender(config.Budget),
 	}
 }
 
@@ -195,39 +198,70 @@
 	return call.kind, true
 }
 
-// run sends a call that has a slot. An idempotent call is sent again on another
-// connection if a reused one failed before any byte of an answer. Once it was sent, a
-// refusal no longer states that it has not run.
+// run sends a call that has a slot. If a reused connection fails before any byte of an answer, the
+// call is sent once more, on a new connection: without condition if no byte of it was written, since
+// the upstream can't have received it, else if the call is idempotent and the retry budget allows
+// it. An upstream that runs calls and resets the connections would otherwise get each of them
+// again. Once a call was sent, a refusal no longer states that it has not run.
 func (e *Executor) run(ctx context.Context, job Job, deadline time.Time) carrier.Result {
-	sent := false
-	for range maxConnectionsTried {
-		result, stale := e.runOnce(ctx, job, deadline)
-		if sent && result.Outcome == carrier.NotRun {
-			return carrier.Fail(result.Reason)
-		}
-		if !stale || !job.Idempotent || ctx.Err() != nil {
-			return result
-		}
-		sent = true
-		e.countResend()
+	e.countReceived(job.Service)
+	result := e.runOnce(ctx, job, deadline, e.pool.get)
+	if !result.stale || ctx.Err() != nil {
+		return result.Result
+	}
+	if result.unsent {
+		return e.runOnce(ctx, job, deadline, e.pool.open).Result
+	}
+	if !job.Idempotent || !e.allowResend(job.Service) {
+		return result.Result
+	}
+	again := e.runOnce(ctx, job, deadline, e.pool.open).Result
+	if again.Outcome == carrier.NotRun {
+		return carrier.Fail(again.Reason)
 	}
-	return carrier.Fail(carrier.AnswerBroken)
+	return again
+}
+
+// countReceived counts a call that the upstream gets towards the budget for its resends.
+func (e *Executor) countReceived(service string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.resends.RecordCall(service, time.Now())
 }
 
-// runOnce sends a call on one connection. It also reports whether that was a reused one that
-// failed before any byte of an answer.
-func (e *Executor) runOnce(ctx context.Context, job Job, deadline time.Time) (carrier.Result, bool) {
+// allowResend reports whether the retry budget allows a call to be sent once more. If so, that
+// counts against the budget and against the rate limit.
+func (e *Executor) allowResend(service string) bool {
+	members := 1
+	if e.config.Members != nil {
+		members = e.config.Members()
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	if !e.resends.Allow(service, members, now) {
+		return false
+	}
+	e.queue.CountResend(now)
+	return true
+}
+
+// connect returns a connection to an address for the call with an ID.
+type connect func(ctx context.Context, address, id string, now time.Time) (*connection, error)
+
+// runOnce sends a call on one connection.
+func (e *Executor) runOnce(ctx context.Context, job Job, deadline time.Time, connect connect) exchangeResult {
 	now := time.Now()
 	e.mu.Lock()
 	reason := e.refusalReason(job.Service, now)
 	upstream := e.tracker.Current()
 	e.mu.Unlock()
 	if reason != "" {
-		return carrier.Refuse(reason), false
+		return exchangeResult{Result: carrier.Refuse(reason)}
 	}
-	c, err := e.pool.get(ctx, upstream.Address, job.Call.ID, now)
+	c, err := connect(ctx, upstream.Address, job.Call.ID, now)
 	if err != nil {
-		return e.markUnreachable(ctx, upstream.Incarnation(), now), false
+		return exchangeResult{Result: e.markUnreachable(ctx, upstream.Incarnation(), now)}
 	}
 	result := e.exchange(ctx, c, upstream.Address, UpstreamRequest{
 		Call: job.Call, Instance: upstream.Instance, CallerService: job.CallerService, Remaining: time.Until(deadline),
@@ -240,7 +274,7 @@
 	if result.Reason == carrier.WrongEndpoint {
 		e.markAbsent(upstream.Incarnation())
 	}
-	return result.Result, result.stale
+	return result
 }
 
 // Stop refuses new and queued calls. Calls in flight continue.
--- a/internal/proxy/executor/pool.go
+++ b/internal/proxy/executor/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -35,7 +36,9 @@
 	// reader reads from wire.
 	reader *bufio.Reader
 	wire   *limiter.Reader
-	writer *bufio.Writer
+	// writer writes to written.
+	writer  *bufio.Writer
+	written *countingWriter
 	// idle is how long the connection may be idle and still be reused.
 	idle    time.Duration
 	lastUse time.Time
@@ -48,6 +51,19 @@
 	generation int
 }
 
+// countingWriter counts the bytes that were written to a connection.
+type countingWriter struct {
+	net.Conn
+	count atomic.Int64
+}
+
+// Write implements io.Writer.
+func (w *countingWriter) Write(b []byte) (int, error) {
+	n, err := w.Conn.Write(b)
+	w.count.Add(int64(n))
+	return n, err
+}
+
 // Dial opens a connection to a network address.
 type Dial func(ctx context.Context, address string) (net.Conn, error)
 
@@ -94,6 +110,14 @@
 	}
 }
 
+// open opens a new connection. Its parameters are those of get.
+func (p *pool) open(ctx context.Context, address, _ string, _ time.Time) (*connection, error) {
+	p.mu.Lock()
+	generation := p.generation
+	p.mu.Unlock()
+	return p.dial(ctx, address, generation)
+}
+
 // pop removes and returns the most recently used connection to the address; nil if
 // there is none. It also returns the generation of the pool. Connections to another address
 // are closed.
@@ -119,9 +143,11 @@
 	if err != nil {
 		return nil, err
 	}
+	written := &countingWriter{Conn: conn}
 	wire := &limiter.Reader{Reader: conn, Exceeded: errAnswerTooLarge}
 	return &connection{
-		Conn: conn, reader: bufio.NewReaderSize(wire, bufferBytes), wire: wire, writer: bufio.NewWriterSize(conn, bufferBytes),
+		Conn: conn, reader: bufio.NewReaderSize(wire, bufferBytes), wire: wire,
+		writer: bufio.NewWriterSize(written, bufferBytes), written: written,
 		idle: defaultIdleTimeout, fresh: true, generation: generation,
 	}, nil
 }
--- a/internal/proxy/executor/slots.go
+++ b/internal/proxy/executor/slots.go
@@ -105,10 +105,3 @@
 	}
 	return carrier.Result{Outcome: carrier.NotRun, Reason: carrier.WaitTooLong, Wait: refusal.Wait}, true
 }
-
-// countResend counts the next send of a call that has a slot against the rate limit.
-func (e *Executor) countResend() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.queue.CountResend(time.Now())
-}
--- a/internal/proxy/retrier/retrier.go
+++ b/internal/proxy/retrier/retrier.go
@@ -22,6 +22,9 @@
 	// callers. The rest is left for the nested calls that upstreams make again while
 	// they serve a retry.
 	directFraction = 0.5
+	// resendFraction is the fraction of the budget for the resends of the node beside an upstream,
+	// on another connection to it. It is taken from what directFraction leaves.
+	resendFraction = 0.1
 	// buckets is the number of buckets per window. One more is kept, so a retry
 	// counts for up to one bucket longer than the window.
 	buckets = 10
@@ -31,6 +34,8 @@
 // use: its owner must hold a lock.
 type Retrier struct {
 	budget Budget
+	// fraction is the fraction of the budget that this Retrier may use.
+	fraction float64
 	// began is the time of the first count. Times are measured from it, so that a jump of the
 	// time of day does not move the windows.
 	began    time.Time
@@ -46,9 +51,15 @@
 	last int64
 }
 
-// New returns a Retrier with no calls counted.
-func New(budget Budget) *Retrier {
-	return &Retrier{budget: budget, services: map[string]*window{}}
+// New returns a Retrier for the calls of a node's callers, with no calls counted.
+func New(budget Budget) *Retrier { return newRetrier(budget, directFraction) }
+
+// NewResender returns a Retrier for the calls that a node receives for its upstream, with no
+// calls counted.
+func NewResender(budget Budget) *Retrier { return newRetrier(budget, resendFraction) }
+
+func newRetrier(budget Budget, fraction float64) *Retrier {
+	return &Retrier{budget: budget, fraction: fraction, services: map[string]*window{}}
 }
 
 // window returns the window of a service, moved to the current time.
@@ -99,7 +110,7 @@
 // Take does the same as Allow and returns the charge for the retry.
 func (r *Retrier) Take(service string, nodes int, now time.Time) (Charge, bool) {
 	w := r.window(service, now)
-	allowed := directFraction * (r.budget.Ratio*sum(w.calls) + r.budget.Slack/float64(max(1, nodes)))
+	allowed := r.fraction * (r.budget.Ratio*sum(w.calls) + r.budget.Slack/float64(max(1, nodes)))
 	if sum(w.retries)+1 > allowed {
 		return Charge{}, false
 	}
