--- a/internal/proxy/dispatcher/dispatcher_test.go
+++ b/internal/proxy/dispatcher/dispatcher_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/tamarackscale/tamarackscale/internal/proxy/balancer"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/executor"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/forwarder"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/retrier"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/router"
@@ -81,6 +82,27 @@
 	})
 }
 
+// Guards against an error that hides the success of an attempt that ran in parallel, whichever of
+// the two ended first: the call of a deletion that has been hedged may be answered 200 and 404.
+func TestCombinedResultLosesNoSuccess(t *testing.T) {
+	answered := func(status int) carrier.Result {
+		return carrier.Result{Outcome: carrier.Run, Answer: carrier.Answer{Status: status}}
+	}
+	// Ordered by what the caller gets if it is one of two results.
+	results := []carrier.Result{
+		carrier.Refuse(carrier.Draining), carrier.Fail(carrier.PeerLost), answered(http.StatusInternalServerError),
+		answered(http.StatusGatewayTimeout), answered(http.StatusNotFound), answered(http.StatusOK),
+	}
+	Convey("In both orders of each pair, the better result is returned", t, func() {
+		for i, worse := range results {
+			for _, better := range results[i:] {
+				So(combine(worse, better, false), ShouldResemble, better)
+				So(combine(better, worse, false), ShouldResemble, better)
+			}
+		}
+	})
+}
+
 // Guards against attempts at further nodes after a refusal in favour of more urgent work:
 // every node would refuse the call for the same reason.
 func TestCallRefusedForUrgentWorkIsNotRetried(t *testing.T) {
@@ -115,11 +137,76 @@
 		})
 		info := balancer.PickInfo{Service: "s", Kind: "k", Objective: time.Second, Remaining: time.Second}
 		for range 10 {
-			none, _ := d.choose(info, true)
+			none, _, _ := d.choose(info, true)
 			So(none, ShouldBeNil)
 		}
 		d.Balancer.Update(balancer.Member{Node: "n", Start: 1, Sequence: 1, Zone: "x", Service: "s", Instance: "i", Slots: 4})
-		c, _ := d.choose(info, true)
+		c, _, _ := d.choose(info, true)
 		So(c, ShouldNotBeNil)
 	})
 }
+
+// Guards against a retry budget that is spent at nodes that pass no call to an upstream: full and
+// unreachable ones are tried as a last resort.
+func TestRetryThatReachesNoUpstreamIsNotCharged(t *testing.T) {
+	Convey("Calls that one upstream has failed and the other nodes refuse leave the budget whole", t, func() {
+		d := New(Config{
+			Node: "own", Service: func() string { return "caller" }, Observe: noObserver{}, Forward: refusingForwarder{failing: "n-1"},
+			Balancer: balancer.New("x"), Budget: retrier.Budget{Slack: 4, Window: 10 * time.Second},
+		})
+		for _, node := range []string{"n-1", "n-2"} {
+			d.Balancer.Update(balancer.Member{Node: node, Start: 1, Sequence: 1, Zone: "x", Service: "s", Instance: "i", Slots: 4})
+		}
+		for range 10 {
+			p := &placement{
+				d: d, match: router.Match{Service: "s", Route: &router.Route{Name: "k", Idempotent: true, MaxAttempts: 3}},
+				received: time.Now(), timeout: time.Minute, objective: time.Second, event: &Event{},
+			}
+			p.place(context.Background())
+			So(p.event.Attempts, ShouldHaveLength, 2)
+		}
+	})
+}
+
+// refusingForwarder returns a failure of the upstream for attempts to one node, and refuses all
+// others before they reach an upstream.
+type refusingForwarder struct{ failing string }
+
+func (f refusingForwarder) Forward(_ context.Context, m balancer.Member, _ executor.Job, _ bool) forwarder.RunReply {
+	if m.Node == f.failing {
+		return forwarder.RunReply{Result: carrier.Fail(carrier.AnswerBroken)}
+	}
+	return forwarder.RunReply{Result: carrier.Refuse(carrier.PeerUnreachable)}
+}
+
+// Guards against callers that disconnect early, or hedges that are faster, making an upstream seem
+// slow or failing.
+func TestWithdrawnAttemptSaysNothingAboutUpstream(t *testing.T) {
+	Convey("Neither mean service time nor utility of the upstream change", t, func() {
+		reply := forwarder.RunReply{Result: carrier.Fail(carrier.CallerGone), UpstreamTime: time.Minute}
+		d := New(Config{Observe: noObserver{}, Balancer: balancer.New("x")})
+		d.Balancer.Update(balancer.Member{Node: "n", Start: 1, Sequence: 1, Zone: "x", Service: "s", Instance: "i", Slots: 4})
+		p := &placement{
+			d: d, match: router.Match{Service: "s", Route: &router.Route{Name: "k", Idempotent: true, MaxAttempts: 3}},
+			timeout: time.Minute, event: &Event{},
+		}
+		record := func(began time.Time, reply forwarder.RunReply) {
+			c, m, _ := d.choose(balancer.PickInfo{Service: "s", Kind: "k"}, false)
+			p.recordOutcome(context.Background(), pendingAttempt{candidate: c, member: m, began: began}, reply)
+		}
+		answer := carrier.Result{Outcome: carrier.Run, Answer: carrier.Answer{Status: http.StatusOK}, Arrived: true}
+		record(time.Now(), forwarder.RunReply{Result: answer, UpstreamTime: 20 * time.Millisecond})
+		for range 20 {
+			record(time.Now().Add(-time.Minute), reply)
+		}
+		mean, _ := d.meanServiceTime("s", "k")
+		So(mean, ShouldEqual, 20*time.Millisecond)
+		So(d.hasCapacity(balancer.PickInfo{Service: "s", Kind: "k", Remaining: time.Second}), ShouldBeTrue)
+	})
+}
+
+// noObserver ignores all events.
+type noObserver struct{}
+
+func (noObserver) Ended(Event)                  {}
+func (noObserver) ObserveVersion(int64, string) {}
--- a/internal/proxy/dispatcher/placement.go
+++ b/internal/proxy/dispatcher/placement.go
@@ -11,6 +11,7 @@
 	"github.com/tamarackscale/tamarackscale/internal/proxy/executor"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/forwarder"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/queuer"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/retrier"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/router"
 )
 
@@ -51,6 +52,8 @@
 	candidate *balancer.Candidate
 	member    balancer.Member
 	began     time.Time
+	// charge is that of a retry; the zero value for the first attempt.
+	charge retrier.Charge
 	// last means that no further upstream may receive the call if this one does.
 	last bool
 }
@@ -80,22 +83,26 @@
 	}
 }
 
-// combine returns the one of two results that holds for all attempts: an answer takes
-// precedence over a failure, a success over an upstream's error, and a later refusal never
-// hides that the call may have run. Of two refusals, the one with the shorter known wait is
-// returned.
+// combine returns the one of two results that holds for all attempts: a success takes
+// precedence over an error of the caller, that over an error of the upstream, any answer over a
+// failure, and a later refusal never hides that the call may have run. Of two refusals, the one
+// with the shorter known wait is returned.
 func combine(best, next carrier.Result, first bool) carrier.Result {
-	switch {
-	case first:
+	if first {
 		return next
-	case best.Outcome == carrier.Run && !retryable(best.Answer.Status):
-		return best
-	case next.Outcome == carrier.Run:
+	}
+	bestGrade, nextGrade := gradeOf(best), gradeOf(next)
+	switch {
+	case bestGrade != nextGrade:
+		if bestGrade > nextGrade {
+			return best
+		}
 		return next
-	case best.Outcome == carrier.Run || best.Outcome == carrier.Unknown:
+	case bestGrade != refused:
+		if bestGrade == transientError {
+			return next
+		}
 		return best
-	case next.Outcome == carrier.Unknown:
-		return next
 	case best.Wait > 0 && (next.Wait == 0 || best.Wait < next.Wait):
 		return best
 	default:
@@ -103,6 +110,40 @@
 	}
 }
 
+// grade orders results by how much they are worth to the caller.
+type grade int
+
+// The grades. Results of attempts that ran in parallel are compared by them, since either may
+// have ended first.
+const (
+	// refused: the call has not run.
+	refused grade = iota
+	// unknown: the call may have run.
+	unknown
+	// transientError: the upstream's error, which another upstream may not have.
+	transientError
+	upstreamError
+	callerError
+	success
+)
+
+func gradeOf(r carrier.Result) grade {
+	switch {
+	case r.Outcome == carrier.NotRun:
+		return refused
+	case r.Outcome == carrier.Unknown:
+		return unknown
+	case retryable(r.Answer.Status):
+		return transientError
+	case r.Answer.Status >= http.StatusInternalServerError:
+		return upstreamError
+	case r.Answer.Status >= http.StatusBadRequest:
+		return callerError
+	default:
+		return success
+	}
+}
+
 // isFinal reports whether the result is an answer that no further attempt may replace.
 func (p *placement) isFinal(r carrier.Result) bool {
 	return r.Outcome == carrier.Run && !(p.match.Idempotent && retryable(r.Answer.Status))
@@ -159,19 +200,19 @@
 	if len(p.tried) >= maxNodes {
 		return pendingAttempt{}, false
 	}
-	candidate, member := p.d.choose(p.pickInfo(), p.delivered+p.inFlight > 0)
+	candidate, member, charge := p.d.choose(p.pickInfo(), p.delivered+p.inFlight > 0)
 	if candidate == nil {
 		return pendingAttempt{}, false
 	}
 	p.tried = append(p.tried, member.Node)
 	p.inFlight++
 	last := !p.match.Idempotent || p.delivered+p.inFlight >= p.match.MaxAttempts
-	return pendingAttempt{candidate: candidate, member: member, began: time.Now(), last: last}, true
+	return pendingAttempt{candidate: candidate, member: member, began: time.Now(), charge: charge, last: last}, true
 }
 
 // run makes the attempt and records its outcome.
 func (p *placement) run(ctx context.Context, a pendingAttempt) carrier.Result {
-	return p.recordOutcome(a, p.send(ctx, a, p.job()))
+	return p.recordOutcome(ctx, a, p.send(ctx, a, p.job()))
 }
 
 // job returns the job of an attempt that begins now.
@@ -193,17 +234,25 @@
 }
 
 // recordOutcome updates the balancer and the placement with the reply to an attempt, and
-// returns the result.
-func (p *placement) recordOutcome(a pendingAttempt, reply forwarder.RunReply) carrier.Result {
+// returns the result. The context is that of the attempt. An attempt that was withdrawn shows
+// neither a failure nor a service time of its upstream.
+func (p *placement) recordOutcome(ctx context.Context, a pendingAttempt, reply forwarder.RunReply) carrier.Result {
 	r := reply.Result
 	outcome := outcomeOf(reply, p.match.Name)
 	outcome.Class = p.class()
-	outcome.Elapsed = reply.UpstreamTime
-	if r.Outcome == carrier.Unknown {
+	switch {
+	case r.Reason == carrier.CallerGone:
+		outcome.Overtaken = context.Cause(ctx) == errOvertaken
+	case r.Outcome == carrier.Unknown:
 		outcome.Elapsed = time.Since(a.began)
+	default:
+		outcome.Elapsed = reply.UpstreamTime
 	}
 	outcome.Bytes = len(p.call.Body) + len(r.Answer.Body)
 	p.d.recordOutcome(a.candidate, outcome)
+	if r.Outcome == carrier.NotRun && !r.Arrived {
+		p.d.returnCharge(a.charge)
+	}
 	p.d.Observe.ObserveVersion(reply.Version, a.member.Address)
 	p.mu.Lock()
 	defer p.mu.Unlock()
