accounts: clients are identified by keys, and calls ordered by their account first

Change: platform decodes tenants and public; account/authenticator finds accounts by keyed hash; dispatcher.Handle authenticates before anything else looks at the call; the router numbers the pairs of account and route priorities within the four ranks of queues; nested calls have the account of their parent. The account travels in the call's header fields, so no message changes.

--- a/internal/observe/reporter/reporter.go
+++ b/internal/observe/reporter/reporter.go
@@ -71,6 +71,8 @@
 	upstreamLimit prometheus.Gauge
 	// limited reports whether the upstream names a rate limit.
 	limited atomic.Bool
+	// accounts counts calls by account.
+	accounts *accountMetrics
 
 	onVersion atomic.Pointer[func(int64, string)]
 
@@ -111,6 +113,7 @@
 	r.rejected = gauge("tamarackscale_configuration_rejected", "1 if the store's newest configuration can't be decoded, else 0.")
 	r.upstreamLimit = gauge("tamarackscale_upstream_limit_calls_per_second", "Rate of calls that the upstream beside the node takes, as it states; +Inf without a limit.")
 	r.upstreamLimit.Set(math.Inf(1))
+	r.accounts = newAccountMetrics(r.registry)
 	r.registry.MustRegister(
 		r.callTime, r.upstreamTime, r.queueTime, r.endedCalls, r.attempts, r.unanswered, r.storeCalls, r.storeEra, r.version, r.unknownKinds, r.rejected,
 		r.upstreamLimit, r.recordedDrains, r.unusableEntries,
@@ -159,6 +162,7 @@
 // it is routine: run at its first attempt, with a response status below 500.
 func (r *Reporter) Ended(e dispatcher.Event) {
 	r.callTime.WithLabelValues(e.Service, strconv.Itoa(e.Rank), e.Result.Outcome.String()).Observe(e.Took.Seconds())
+	r.accounts.ended(e)
 	r.endedCalls.WithLabelValues(e.Service, strconv.Itoa(e.Status), string(e.Result.Reason)).Inc()
 	for _, a := range e.Attempts {
 		r.upstreamTime.WithLabelValues(e.Service).Observe(a.UpstreamTime.Seconds())
@@ -169,7 +173,11 @@
 	if routine || !r.allow(r.callLimiter, callsSuppressedEvent, string(e.Result.Reason)) {
 		return
 	}
-	r.log.WithFields(logrus.Fields{
+	log := r.log
+	if e.Account != "" {
+		log = log.WithField("account", e.Account)
+	}
+	log.WithFields(logrus.Fields{
 		"event": "callEnded", "request": e.Call.ID, "route": e.Route, "service": e.Service, "rank": e.Rank,
 		"nested": e.Nested, "version": e.Version, "outcome": e.Result.Outcome.String(),
 		"reason": string(e.Result.Reason), "status": e.Status, "pauseMs": e.RetryAfter.Milliseconds(),
--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -118,7 +118,7 @@
 	p.buildStoreClients(s)
 	p.dispatcher = dispatcher.New(dispatcher.Config{
 		Node: s.Node.ID, Service: func() string { return p.settings.Load().Upstream.Service },
-		Table: p.subscriber.Table, Forward: p.forwarder, Execute: p.executor, Observe: p.telemetry,
+		Table: p.subscriber.Table, Forward: p.forwarder, Execute: p.executor, Observe: p.telemetry, Identities: platform.HTTP{},
 		Balancer: balancer.New(s.Node.AvailabilityZone), End: p.callsEnd,
 		Budget: retrier.Budget{
 			Ratio: p.bounds.RetryRatio, Slack: p.bounds.RetrySlack, Window: p.bounds.RetryWindow.Std(),
--- a/internal/proxy/assembler/mesh_test.go
+++ b/internal/proxy/assembler/mesh_test.go
@@ -31,6 +31,7 @@
 	Target   float64
 	Priority int
 	Attempts int
+	Public   bool
 }
 
 // idempotent and nonIdempotent return the routes that most tests use.
@@ -44,6 +45,20 @@
 
 // configure writes a configuration to the store, as the operator does.
 func configure(m *mesh.Mesh, version int, routes ...routeSpec) {
+	configureAccounts(m, version, nil, routes...)
+}
+
+// accountSpec is one account of a test's configuration, in its JSON form.
+type accountSpec struct {
+	Name     string   `json:"name"`
+	Keys     []string `json:"api_keys"`
+	Priority int      `json:"priority"`
+	Rate     float64  `json:"rate_per_s,omitempty"`
+	Burst    float64  `json:"burst,omitempty"`
+}
+
+// configureAccounts writes a configuration with accounts.
+func configureAccounts(m *mesh.Mesh, version int, accounts []accountSpec, routes ...routeSpec) {
 	services := map[string]bool{}
 	var rules, clusters []any
 	for _, r := range routes {
@@ -61,20 +76,24 @@
 		}
 		rules = append(rules, map[string]any{
 			"name": "r" + r.Prefix, "kind": r.Kind, "target_latency_s": r.Target, "priority": r.Priority,
-			"match": map[string]any{"prefix": r.Prefix}, "action": action,
+			"match": map[string]any{"prefix": r.Prefix}, "action": action, "public": r.Public,
 		})
 	}
 	for service := range services {
 		clusters = append(clusters, map[string]any{"name": service, "max_conns": 100})
 	}
-	value, err := json.Marshal(map[string]any{
+	configuration := map[string]any{
 		"version": version,
 		"limits": map[string]any{
 			"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_s": 3, "idle_timeout_s": 15,
 		},
 		"listeners": []any{map[string]any{"host": host, "policy": rules}},
 		"clusters":  clusters,
-	})
+	}
+	if accounts != nil {
+		configuration["tenants"] = accounts
+	}
+	value, err := json.Marshal(configuration)
 	So(err, ShouldBeNil)
 	m.Store.Put("op/config", value)
 }
--- a/internal/proxy/carrier/carrier.go
+++ b/internal/proxy/carrier/carrier.go
@@ -129,6 +129,15 @@
 	UrgentFirst Reason = "urgentFirst"
 	// BodyTooLarge: the request's body exceeds its limit.
 	BodyTooLarge Reason = "bodyTooLarge"
+	// KeyMissing: the route is not public, and the call has no key.
+	KeyMissing Reason = "keyMissing"
+	// KeyUnknown: no account of the configuration in force has the key.
+	KeyUnknown Reason = "keyUnknown"
+	// ParentUnknown: the call has no key, and the node does not run the call on whose behalf it
+	// is made.
+	ParentUnknown Reason = "parentUnknown"
+	// OverQuota: the account has no quota left.
+	OverQuota Reason = "overQuota"
 )
 
 // Result is the result of one attempt or of the whole call.
--- a/internal/proxy/dispatcher/demand.go
+++ b/internal/proxy/dispatcher/demand.go
@@ -4,22 +4,23 @@
 	"time"
 
 	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/executor"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/queuer"
 )
 
 // Nested implements acceptor.Handler.
 func (d *Dispatcher) Nested(call carrier.Call) bool {
-	_, nested := d.parentKind(call)
+	_, nested := d.parentOf(call)
 	return nested
 }
 
-// parentKind returns the kind of the call for which the local upstream makes this one,
-// and whether it is running such a call.
-func (d *Dispatcher) parentKind(call carrier.Call) (string, bool) {
+// parentOf returns the call for which the local upstream makes this one, and whether it is
+// running such a call.
+func (d *Dispatcher) parentOf(call carrier.Call) (executor.Parent, bool) {
 	if call.Parent == "" {
-		return "", false
+		return executor.Parent{}, false
 	}
-	return d.Execute.InFlightKind(call.Parent)
+	return d.Execute.InFlight(call.Parent)
 }
 
 // Admit reports whether a call of the kind and rank may start at the local upstream. If
--- a/internal/proxy/dispatcher/dispatcher.go
+++ b/internal/proxy/dispatcher/dispatcher.go
@@ -44,9 +44,8 @@
 	Execute(ctx context.Context, job executor.Job) (carrier.Result, time.Duration)
 	// Load returns the load of the upstream.
 	Load(now time.Time) balancer.Load
-	// InFlightKind returns the kind of the call with the ID, and whether the upstream is
-	// running it.
-	InFlightKind(id string) (string, bool)
+	// InFlight returns the call with the ID, and whether the upstream is running it.
+	InFlight(id string) (executor.Parent, bool)
 }
 
 // Observer is notified of ended calls and of configuration versions.
@@ -63,6 +62,8 @@
 	Call carrier.Call
 	// Nested means that the local upstream makes the call for one that it is running.
 	Nested bool
+	// Account is the name of the account on whose behalf the call is made; empty if there is none.
+	Account string
 	// Route, Service and Rank have their zero values if no route was found.
 	Route   string
 	Service string
@@ -106,12 +107,14 @@
 	// Service returns the name of the local upstream's service.
 	Service func() string
 	// Table returns the routing table in force, or nil if there is none yet.
-	Table    func() *router.Table
-	Forward  Forwarder
-	Execute  Executor
-	Observe  Observer
-	Balancer *balancer.Balancer
-	Budget   retrier.Budget
+	Table   func() *router.Table
+	Forward Forwarder
+	Execute Executor
+	// Identities is needed only if a configuration has accounts.
+	Identities Identities
+	Observe    Observer
+	Balancer   *balancer.Balancer
+	Budget     retrier.Budget
 	// End returns the time by which calls must have ended; zero if there is none. Nil
 	// means that there never is.
 	End func() time.Time
@@ -158,20 +161,26 @@
 // Handle implements acceptor.Handler.
 func (d *Dispatcher) Handle(ctx context.Context, call carrier.Call, received time.Time) acceptor.Response {
 	table := d.Table()
-	parent, nested := d.parentKind(call)
+	parent, nested := d.parentOf(call)
 	event := Event{Call: call, Nested: nested}
 	if table == nil {
 		return d.respond(event, carrier.Refuse(carrier.NoConfiguration), received, defaultTimeout)
 	}
 	event.Version = table.Version
+	account, reason := d.authenticate(table, &event, parent)
+	if reason != "" {
+		return d.respond(event, carrier.Refuse(reason), received, defaultTimeout)
+	}
+	call = event.Call
 	refused := d.takeRefusal(call, received)
 	event.Waited = received.Sub(refused.First)
 	match, found := table.Lookup(call.Host, call.Target, refused.Service)
 	if !found {
 		return d.respond(event, carrier.Refuse(carrier.NoRoute), received, defaultTimeout)
 	}
+	match = table.Ranked(match, account)
 	event.Route, event.Service, event.Rank = match.Name, match.Service, match.Rank
-	d.recordDemand(event, parent, match.Objective, received)
+	d.recordDemand(event, parent.Kind, match.Objective, received)
 	timeout := d.untilEnd(timeoutOf(call, match), received)
 	if timeout <= 0 {
 		return d.respond(event, carrier.Refuse(carrier.Stopping), received, defaultTimeout)
@@ -252,11 +261,15 @@
 }
 
 // statusOf returns the status of a response without an answer. Only a call that has
-// certainly not run gets 404 or 503; one that may have run gets 502 or 504.
+// certainly not run gets 401, 404, 429 or 503; one that may have run gets 502 or 504.
 func statusOf(r carrier.Result) int {
 	switch {
 	case r.Reason == carrier.NoRoute:
 		return http.StatusNotFound
+	case r.Reason == carrier.KeyMissing || r.Reason == carrier.KeyUnknown:
+		return http.StatusUnauthorized
+	case r.Reason == carrier.OverQuota:
+		return http.StatusTooManyRequests
 	case r.Outcome == carrier.NotRun:
 		return http.StatusServiceUnavailable
 	case r.Reason == carrier.DeadlineExceeded:
--- a/internal/proxy/dispatcher/retryafter.go
+++ b/internal/proxy/dispatcher/retryafter.go
@@ -19,10 +19,14 @@
 
 // retryAfter returns the delay after which the caller of a refused call should send it again:
 // when the calls queued ahead of it are done, but early enough for it to be served before
-// the deadline. It returns 0 if the call may have run or has no route.
+// the deadline. It returns 0 if the call may have run, has no route or no valid key. A call over its
+// account's quota is told when there is quota again, even if that is late.
 func retryAfter(r carrier.Result, remaining time.Duration) time.Duration {
-	if r.Outcome != carrier.NotRun || r.Reason == carrier.NoRoute {
+	switch {
+	case r.Outcome != carrier.NotRun, r.Reason == carrier.NoRoute, r.Reason == carrier.KeyMissing, r.Reason == carrier.KeyUnknown:
 		return 0
+	case r.Reason == carrier.OverQuota:
+		return max(r.Wait, minRetryAfter)
 	}
 	delay := failureRetryAfter
 	if r.Reason == carrier.WaitTooLong || r.Reason == carrier.UrgentFirst {
--- a/internal/proxy/executor/dialect.go
+++ b/internal/proxy/executor/dialect.go
@@ -57,4 +57,7 @@
 	// DecodeAnswer reads the head of the answer to a call with the given method. The
 	// connection can't be used after an error.
 	DecodeAnswer(r *bufio.Reader, method string) (Head, error)
+	// Account returns the name of the account on whose behalf a call with the header fields is made;
+	// empty if there is none.
+	Account(fields carrier.Fields) string
 }
--- a/internal/proxy/executor/executor.go
+++ b/internal/proxy/executor/executor.go
@@ -98,7 +98,14 @@
 // flight with the call's ID.
 type running struct {
 	count int
-	kind  string
+	Parent
+}
+
+// Parent describes a call in flight at the upstream, which may make nested calls for it.
+type Parent struct {
+	Kind string
+	// Account is the name of the account on whose behalf the call is made; empty if there is none.
+	Account string
 }
 
 // Load returns the current load of the upstream.
@@ -142,7 +149,7 @@
 	}
 	started := time.Now()
 	e.mu.Lock()
-	e.started(job.Call.ID, job.Kind)
+	e.started(job.Call.ID, Parent{Kind: job.Kind, Account: e.dialect.Account(job.Call.Fields)})
 	e.mu.Unlock()
 	result := e.run(ctx, job, deadline)
 	now = time.Now()
@@ -161,10 +168,10 @@
 }
 
 // started records that a call has got a slot. The caller holds the lock.
-func (e *Executor) started(id, kind string) {
+func (e *Executor) started(id string, parent Parent) {
 	call := e.running[id]
 	if call == nil {
-		call = &running{kind: kind}
+		call = &running{Parent: parent}
 		e.running[id] = call
 	}
 	call.count++
@@ -179,16 +186,15 @@
 	}
 }
 
-// InFlightKind returns the kind of the call with the ID and reports whether it is in flight at
-// the upstream.
-func (e *Executor) InFlightKind(id string) (string, bool) {
+// InFlight returns the call with the ID and reports whether it is in flight at the upstream.
+func (e *Executor) InFlight(id string) (Parent, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	call, found := e.running[id]
 	if !found {
-		return "", false
+		return Parent{}, false
 	}
-	return call.kind, true
+	return call.Parent, true
 }
 
 // run sends a call that has a slot. An idempotent call is sent again on another
--- a/internal/proxy/router/router.go
+++ b/internal/proxy/router/router.go
@@ -23,6 +23,8 @@
 	// UnknownKinds lists the routes of a kind that this release does not know. They are not
 	// Idempotent, since a call of an unknown kind must not be repeated.
 	UnknownKinds []UnknownKind
+	// Accounts are the clients of the deployment; nil if calls need no key.
+	Accounts []Account
 }
 
 // UnknownKind names a route and its kind, which a later release may know.
@@ -66,6 +68,8 @@
 	MaxAttempts int
 	// Rank is the priority; 0 is the most urgent.
 	Rank int
+	// Public means that calls need no key, if the configuration has accounts.
+	Public bool
 }
 
 // Backend is one weighted destination of a route.
@@ -81,11 +85,15 @@
 	// hosts holds the entries of each host in lower case, the longest prefix first.
 	hosts    map[string][]*entry
 	services map[string]Service
+	// accounts is nil if the configuration has none.
+	accounts *accounts
 }
 
 // entry is a route with the state of its traffic split.
 type entry struct {
 	route *Route
+	// ranked holds the route with each rank; nil if the configuration has no accounts.
+	ranked []Route
 	// mu guards splitter.
 	mu       sync.Mutex
 	splitter splitter
@@ -95,6 +103,8 @@
 type Match struct {
 	*Route
 	Service string
+	// entry is that of the route.
+	entry *entry
 }
 
 // New builds the table of a configuration. Routes whose backends did not change keep
@@ -105,10 +115,21 @@
 	for _, service := range c.Services {
 		t.services[service.Name] = service
 	}
+	if previous != nil {
+		t.accounts = newAccounts(&c, previous.accounts)
+	} else {
+		t.accounts = newAccounts(&c, nil)
+	}
+	// The keys are not kept.
+	t.Accounts = nil
 	for i := range t.Routes {
 		route := &t.Routes[i]
 		host := strings.ToLower(route.Host)
-		t.hosts[host] = append(t.hosts[host], &entry{route: route, splitter: newSplitter(route.Backends, phase(seed, route))})
+		e := &entry{route: route, splitter: newSplitter(route.Backends, phase(seed, route))}
+		if t.accounts != nil {
+			e.ranked = rankedRoutes(route)
+		}
+		t.hosts[host] = append(t.hosts[host], e)
 	}
 	for _, entries := range t.hosts {
 		sort.SliceStable(entries, func(i, j int) bool {
@@ -164,6 +185,22 @@
 // lookup counts as a call that is split among the route's backends, unless the call was split
 // before to the given service and that is still one of them.
 func (t *Table) Lookup(host, target, before string) (Match, bool) {
+	if e := t.match(host, target); e != nil {
+		return Match{Route: e.route, Service: e.next(before), entry: e}, true
+	}
+	return Match{}, false
+}
+
+// Route returns the route of a call like Lookup, without counting the call; nil if there is none.
+func (t *Table) Route(host, target string) *Route {
+	if e := t.match(host, target); e != nil {
+		return e.route
+	}
+	return nil
+}
+
+// match returns the entry of the route of a call; nil if there is none.
+func (t *Table) match(host, target string) *entry {
 	path := target
 	if end := strings.IndexAny(path, "?#"); end >= 0 {
 		path = path[:end]
@@ -172,9 +209,9 @@
 		if !strings.HasPrefix(path, e.route.Prefix) {
 			continue
 		}
-		return Match{Route: e.route, Service: e.next(before)}, true
+		return e
 	}
-	return Match{}, false
+	return nil
 }
 
 // next returns the service for a call that was split to the service before; empty if it is new.
