--- a/internal/proxy/executor/pool_test.go
+++ b/internal/proxy/executor/pool_test.go
@@ -11,6 +11,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/tracker"
 )
@@ -129,3 +130,5 @@
 func (silentDialect) EncodeCall(*bufio.Writer, UpstreamRequest) error { return nil }
 
 func (silentDialect) DecodeAnswer(*bufio.Reader, string) (Head, error) { return Head{}, net.ErrClosed }
+
+func (silentDialect) Account(carrier.Fields) string { return "" }
