--- a/internal/proxy/executor/pool_test.go
+++ b/internal/proxy/executor/pool_test.go
@@ -11,7 +11,6 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/tracker"
 )
