forwarder, fencer: no attempt runs twice, however late a copy arrives

A receiver forgot an attempt 20 s after its end. A copy that waited for net/rpc's lock or in a slow connection for longer, after its caller had left, ran again.

An attempt now states its latest start by the receiver's steady clock, of which the sender learns a lower bound from readings in the replies. The receiver starts nothing after it, keeps the attempt until then, and computes the remaining time and the objective from it. Messages leave the turn on a connection with their caller. Bodies over 16 KiB have a connection of their own. Receivers and senders of the previous release use Run and Cancel as before. An upstream gets no call within the margin after the deadline any more.

--- a/internal/proxy/executor/executor.go
+++ b/internal/proxy/executor/executor.go
@@ -225,6 +225,11 @@
 	if err != nil {
 		return e.markUnreachable(ctx, upstream.Incarnation(), now), false
 	}
+	if !time.Now().Before(deadline) {
+		// The slot was granted after the deadline, within deadlineMargin, or the dial took long.
+		_ = c.Close()
+		return carrier.Refuse(carrier.DeadlineExceeded), false
+	}
 	result := e.exchange(ctx, c, upstream.Address, UpstreamRequest{
 		Call: job.Call, Instance: upstream.Instance, CallerService: job.CallerService, Remaining: time.Until(deadline),
 	})
--- a/internal/proxy/executor/job.go
+++ b/internal/proxy/executor/job.go
@@ -32,3 +32,10 @@
 	// Waited is how long the caller has waited since its first attempt.
 	Waited time.Duration
 }
+
+// At returns the job as of the time at which the given time remains until its deadline.
+func (j Job) At(remaining time.Duration) Job {
+	elapsed := j.Remaining - remaining
+	j.Remaining, j.Objective, j.Waited = remaining, j.Objective-elapsed, j.Waited+elapsed
+	return j
+}
--- a/internal/proxy/fencer/fencer.go
+++ b/internal/proxy/fencer/fencer.go
@@ -2,18 +2,24 @@
 // sender identifies each attempt; the receiver executes an attempt at most once,
 // also if its message is sent again on a new connection or arrives after the
 // attempt was revoked.
+//
+// An attempt has a latest start in the time of the receiver. It is kept until then. A
+// message that arrives later is refused by its age, so the receiver needs no memory of the
+// attempt, however long the network or the sender delays a copy. All messages of an attempt
+// must state the same latest start.
 package fencer
 
 import (
+	"container/heap"
 	"time"
 
 	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
 )
 
 const (
-	// attemptRetention is how long a finished or revoked attempt is kept. It exceeds
-	// the time for which a network partition can delay a message.
-	attemptRetention = 20 * time.Second
+	// unboundedRetention is how long a finished or revoked attempt without a latest start is
+	// kept. Senders of earlier releases state none.
+	unboundedRetention = 20 * time.Second
 	// answerRetention is how long the answer of an attempt is kept for a sender that
 	// sends the message again.
 	answerRetention = 2 * time.Second
@@ -29,32 +35,75 @@
 	// Cancel cancels the execution; nil for an attempt that was revoked before its
 	// message arrived.
 	Cancel func()
+	// Expired reports that this message arrived after the latest start of an attempt that the
+	// receiver does not know any more, if it ever did. Result is then unknown.
+	Expired bool
 
 	finished time.Time
-	id       AttemptID
+	// latest is the latest start of the attempt; zero if none is known.
+	latest time.Time
+	id     AttemptID
+}
+
+// keepUntil returns the time after which a finished entry is not needed any more.
+func (e *Entry) keepUntil() time.Time {
+	if e.latest.IsZero() {
+		return e.finished.Add(unboundedRetention)
+	}
+	return e.latest
+}
+
+// entryHeap holds entries, the one that expires next first. It implements heap.Interface.
+type entryHeap []*Entry
+
+// Len implements heap.Interface.
+func (h entryHeap) Len() int { return len(h) }
+
+// Less implements heap.Interface.
+func (h entryHeap) Less(i, j int) bool { return h[i].keepUntil().Before(h[j].keepUntil()) }
+
+// Swap implements heap.Interface.
+func (h entryHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *entryHeap) Push(e any) { *h = append(*h, e.(*Entry)) }
+
+// Pop implements heap.Interface.
+func (h *entryHeap) Pop() any {
+	last := len(*h) - 1
+	e := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	return e
 }
 
 // Fencer holds the attempts that were received recently. It is not safe for
 // concurrent use; its owner holds a lock.
 type Fencer struct {
 	entries map[AttemptID]*Entry
-	// finished holds the entries that have a result, ordered by the time at which they
-	// finished. The answers of the first answersDropped entries are no longer kept.
-	finished       []*Entry
-	answersDropped int
+	// finished holds the entries whose answer is kept, ordered by the time at which they
+	// finished, and expiring those without an answer.
+	finished []*Entry
+	expiring entryHeap
 }
 
 // New returns an empty fencer.
 func New() *Fencer { return &Fencer{entries: map[AttemptID]*Entry{}} }
 
 // Begin returns the entry of an attempt and reports whether it is new, in which
-// case the caller must execute the attempt.
-func (f *Fencer) Begin(id AttemptID, cancel func(), now time.Time) (*Entry, bool) {
+// case the caller must execute the attempt. Latest is the latest start of the attempt by the
+// clock of now; zero if the sender states none.
+func (f *Fencer) Begin(id AttemptID, latest time.Time, cancel func(), now time.Time) (*Entry, bool) {
 	f.expire(now)
 	if e, known := f.entries[id]; known {
 		return e, false
 	}
-	e := &Entry{Done: make(chan struct{}), Cancel: cancel, id: id}
+	e := &Entry{Done: make(chan struct{}), Cancel: cancel, id: id, latest: latest}
+	if !latest.IsZero() && now.After(latest) {
+		e.Expired, e.Result = true, carrier.Fail(carrier.DeadlineExceeded)
+		close(e.Done)
+		return e, false
+	}
 	f.entries[id] = e
 	return e, true
 }
@@ -68,37 +117,39 @@
 }
 
 // Revoke revokes an attempt. One that has not arrived yet will not be executed. If
-// the attempt is being executed, Revoke returns its entry, else nil.
-func (f *Fencer) Revoke(id AttemptID, now time.Time) *Entry {
+// the attempt is being executed, Revoke returns its entry, else nil. Latest is that of Begin.
+func (f *Fencer) Revoke(id AttemptID, latest, now time.Time) *Entry {
 	f.expire(now)
 	e, known := f.entries[id]
-	if !known {
-		e = &Entry{Done: make(chan struct{}), id: id}
+	switch {
+	case !known && !latest.IsZero() && now.After(latest):
+		return nil
+	case !known:
+		e = &Entry{Done: make(chan struct{}), id: id, latest: latest}
 		f.entries[id] = e
 		f.Finish(e, carrier.Refuse(carrier.CallerGone), now)
 		return nil
-	}
-	if !e.finished.IsZero() {
+	case !e.finished.IsZero():
 		return nil
 	}
 	return e
 }
 
-// expire drops the answers that are older than answerRetention and the entries that are
-// older than attemptRetention.
+// expire drops the answers that are older than answerRetention, and the entries without an
+// answer whose messages are refused by their age.
 func (f *Fencer) expire(now time.Time) {
-	for f.answersDropped < len(f.finished) && now.Sub(f.finished[f.answersDropped].finished) > answerRetention {
-		f.finished[f.answersDropped].dropAnswer()
-		f.answersDropped++
+	dropped := 0
+	for dropped < len(f.finished) && now.Sub(f.finished[dropped].finished) > answerRetention {
+		e := f.finished[dropped]
+		e.dropAnswer()
+		heap.Push(&f.expiring, e)
+		f.finished[dropped] = nil
+		dropped++
 	}
-	expired := 0
-	for expired < f.answersDropped && now.Sub(f.finished[expired].finished) > attemptRetention {
-		delete(f.entries, f.finished[expired].id)
-		f.finished[expired] = nil
-		expired++
+	f.finished = f.finished[dropped:]
+	for len(f.expiring) > 0 && now.After(f.expiring[0].keepUntil()) {
+		delete(f.entries, heap.Pop(&f.expiring).(*Entry).id)
 	}
-	f.finished = f.finished[expired:]
-	f.answersDropped -= expired
 }
 
 // dropAnswer discards the answer of a call that has run. Its outcome becomes
--- /dev/null
+++ b/internal/proxy/forwarder/attempts.go
@@ -0,0 +1,96 @@
+package forwarder
+
+import (
+	"context"
+	"time"
+
+	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/executor"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/fencer"
+)
+
+// reading returns a time by the receiver's steady clock.
+func (r *Receiver) reading(now time.Time) time.Duration { return now.Sub(r.opened) }
+
+// Clock replies with a reading of the receiver's clock. A sender calls it first on each connection.
+func (m *methods) Clock(_ *Empty, reply *ClockReply) error {
+	reply.Start, reply.Reading = m.r.start, m.r.reading(time.Now())
+	return nil
+}
+
+// Attempt executes an attempt, or waits for its result if the execution has already begun. It
+// starts nothing after the latest start.
+func (m *methods) Attempt(args *AttemptArgs, reply *AttemptReply) error {
+	r := m.r
+	if args.Start != r.start {
+		reply.Run.OtherProcess = true
+		return nil
+	}
+	latest := r.opened.Add(args.LatestStart)
+	args.Job = args.Job.At(time.Until(latest))
+	reply.Expired = r.execute(args.AttemptID, latest, args.Job, &reply.Run)
+	reply.Reading = r.reading(time.Now())
+	return nil
+}
+
+// Run does the same for a sender that states no latest start. Its copies are recognized for a
+// limited time only.
+func (m *methods) Run(args *RunArgs, reply *RunReply) error {
+	if args.Start != m.r.start {
+		reply.OtherProcess = true
+		return nil
+	}
+	m.r.execute(args.AttemptID, time.Time{}, args.Job, reply)
+	return nil
+}
+
+// execute executes an attempt unless it is known or its latest start has passed, and sets the
+// reply to its result. It reports whether the message came too late to be recognized.
+func (r *Receiver) execute(id fencer.AttemptID, latest time.Time, job executor.Job, reply *RunReply) bool {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	r.mu.Lock()
+	entry, isNew := r.fencer.Begin(id, latest, cancel, time.Now())
+	r.mu.Unlock()
+	if isNew {
+		result, upstreamTime := r.executor.Execute(ctx, job)
+		r.finish(entry, result, upstreamTime)
+	}
+	<-entry.Done
+	r.mu.Lock()
+	reply.Result, reply.UpstreamTime = entry.Result, entry.UpstreamTime
+	r.mu.Unlock()
+	reply.Load, reply.Version = r.node.Load(), r.node.Version()
+	return entry.Expired
+}
+
+// finish sets the result of an attempt.
+func (r *Receiver) finish(entry *fencer.Entry, result carrier.Result, upstreamTime time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	entry.UpstreamTime = upstreamTime
+	r.fencer.Finish(entry, result, time.Now())
+}
+
+// Revoke cancels an attempt. One that has not begun will not begin later.
+func (m *methods) Revoke(args *RevokeArgs, _ *Empty) error {
+	if args.Start == m.r.start {
+		m.r.revoke(args.AttemptID, m.r.opened.Add(args.LatestStart))
+	}
+	return nil
+}
+
+// Cancel does the same for an attempt of Run.
+func (m *methods) Cancel(args *CancelArgs, _ *Empty) error {
+	m.r.revoke(args.AttemptID, time.Time{})
+	return nil
+}
+
+func (r *Receiver) revoke(id fencer.AttemptID, latest time.Time) {
+	r.mu.Lock()
+	entry := r.fencer.Revoke(id, latest, time.Now())
+	r.mu.Unlock()
+	if entry != nil {
+		entry.Cancel()
+	}
+}
--- /dev/null
+++ b/internal/proxy/forwarder/forward.go
@@ -0,0 +1,231 @@
+package forwarder
+
+import (
+	"context"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/tamarackscale/tamarackscale/internal/kernel/pauser"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/balancer"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/executor"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/fencer"
+)
+
+const (
+	// cancelTimeout bounds the message that cancels an attempt.
+	cancelTimeout = time.Second
+	// resendDelay is the delay between sends of an attempt that a node may be executing.
+	resendDelay = 100 * time.Millisecond
+	// maxResendsBeforeFailover is how often an attempt is sent again if the call may fail
+	// over to another node instead.
+	maxResendsBeforeFailover = 1
+	// largeBodyBytes is the size above which a body takes the connection for large bodies. A
+	// link of 10 Mbit/s carries it in 13 ms.
+	largeBodyBytes = 16 << 10
+)
+
+// attempt is the state of one attempt until its result is known.
+type attempt struct {
+	member balancer.Member
+	node   *node
+	// args is the message of the attempt. Its job is that of the time startedAt, and deadline the
+	// end of the job's remaining time. It does not change once dated is set, which is when it
+	// states the latest start.
+	args      AttemptArgs
+	startedAt time.Time
+	deadline  time.Time
+	dated     bool
+	// mayHaveArrived reports whether the receiver may have received the attempt, earlier whether
+	// it is of an earlier release.
+	mayHaveArrived bool
+	earlier        bool
+}
+
+// now returns a time by the sender's steady clock.
+func (f *Forwarder) now() time.Duration { return time.Since(f.opened) }
+
+// Forward forwards an attempt to a member and waits for its result. The context ends
+// when the caller disconnects or its deadline passes. If canFailOver is set, the call
+// may run at another node, so Forward returns after at most one resend if m is
+// unresponsive. Otherwise only m can state the outcome, and the attempt is sent again
+// until the context ends, m refuses connections, or its process is found replaced.
+func (f *Forwarder) Forward(ctx context.Context, m balancer.Member, job executor.Job, canFailOver bool) RunReply {
+	now := time.Now()
+	a := &attempt{
+		member: m, node: f.node(m.Address), startedAt: now, deadline: now.Add(job.Remaining),
+		args: AttemptArgs{AttemptID: fencer.AttemptID{Sender: f.sender, Number: f.lastAttempt.Add(1)}, Start: m.Start, Job: job},
+	}
+	for sends := 1; ; sends++ {
+		mayHaveRun := a.mayHaveArrived
+		reply, err := f.send(ctx, a)
+		switch {
+		case err == nil && reply.OtherProcess:
+			// The addressed process has exited. It may have run the call only if an
+			// earlier send reached it.
+			return lostReply(mayHaveRun)
+		case err == nil:
+			return reply
+		case ctx.Err() != nil, errors.Is(err, errTooLate):
+			return f.abandon(ctx, a)
+		case isServerError(err):
+			// The node can't take the message, as one of another version may. Run itself
+			// returns no error.
+			return lostReply(mayHaveRun)
+		case !a.mayHaveArrived && errors.Is(err, errNotSent) && sends == 1:
+			// The connection had been closed before; open a new one without delay.
+			continue
+		case !a.mayHaveArrived:
+			return lostReply(false)
+		case errors.Is(err, syscall.ECONNREFUSED), canFailOver && sends > maxResendsBeforeFailover:
+			// A refused connection means that the process has exited.
+			f.cancel(a)
+			return lostReply(true)
+		}
+		f.notifyUnresponsive(m.Address)
+		if sends > 1 && !pauser.Pause(ctx, resendDelay) {
+			return f.abandon(ctx, a)
+		}
+	}
+}
+
+// send sends the attempt on the open connection, or on a new one, and waits for its
+// result.
+func (f *Forwarder) send(ctx context.Context, a *attempt) (RunReply, error) {
+	p := a.node.small
+	if len(a.args.Job.Call.Body) > largeBodyBytes {
+		p = a.node.large
+	}
+	l, err := p.connect(ctx)
+	if err != nil {
+		return RunReply{}, err
+	}
+	if err := f.identify(ctx, a.node, p, l); err != nil {
+		return RunReply{}, err
+	}
+	if l.earlier {
+		return f.sendRun(ctx, p, l, a)
+	}
+	if !a.dated {
+		a.args.LatestStart, a.dated = a.node.clock.convert(a.member.Start, a.deadline.Sub(f.opened), f.now())
+	}
+	if !a.dated || l.process != a.member.Start {
+		return RunReply{OtherProcess: true}, nil
+	}
+	reply := &AttemptReply{}
+	mayHaveRun, sent := a.mayHaveArrived, f.now()
+	err = p.call(ctx, l, "Attempt", &a.args, reply, a.deadline)
+	a.mayHaveArrived = a.mayHaveArrived || !errors.Is(err, errNotSent)
+	received, err := replyOf(reply, err)
+	if err != nil || received.Run.OtherProcess {
+		return received.Run, err
+	}
+	a.node.clock.observe(a.member.Start, received.Reading, sent, f.now())
+	if received.Expired && !mayHaveRun {
+		// Only the sender knows that this was the first message of the attempt.
+		received.Run.Result = carrier.Refuse(carrier.DeadlineExceeded)
+	}
+	return received.Run, nil
+}
+
+// sendRun does the same on a connection to a receiver of an earlier release.
+func (f *Forwarder) sendRun(ctx context.Context, p *peer, l *connection, a *attempt) (RunReply, error) {
+	args := &RunArgs{AttemptID: a.args.AttemptID, Start: a.member.Start, Job: a.args.Job}
+	elapsed := time.Since(a.startedAt)
+	args.Job.Remaining -= elapsed
+	args.Job.Objective -= elapsed
+	reply := &RunReply{}
+	a.earlier = true
+	err := p.call(ctx, l, "Run", args, reply, a.deadline)
+	a.mayHaveArrived = a.mayHaveArrived || !errors.Is(err, errNotSent)
+	return replyOf(reply, err)
+}
+
+// identify learns the receiver's process and its clock, on a new connection and when the last
+// reading of the clock is too old. It has no effect on attempts, so that its errors are errNotSent
+// or that of a connection that did not respond.
+func (f *Forwarder) identify(ctx context.Context, n *node, p *peer, l *connection) error {
+	if f.isIdentified(n, l) {
+		return nil
+	}
+	select {
+	case l.identifying <- struct{}{}:
+	case <-ctx.Done():
+		return withdrawn(ctx)
+	}
+	defer func() { <-l.identifying }()
+	if f.isIdentified(n, l) {
+		return nil
+	}
+	reply, sent := &ClockReply{}, f.now()
+	err := p.call(ctx, l, "Clock", &Empty{}, reply, time.Time{})
+	received, replyErr := replyOf(reply, err)
+	switch {
+	case replyErr == nil:
+		n.clock.observe(received.Start, received.Reading, sent, f.now())
+	case isUnknownMethod(err):
+	case errors.Is(err, errUnresponsive), errors.Is(err, errNotSent), ctx.Err() != nil:
+		return err
+	default:
+		return errClosed
+	}
+	if !l.identified.Load() {
+		l.process, l.earlier = received.Start, err != nil
+		l.identified.Store(true)
+	}
+	return nil
+}
+
+func (f *Forwarder) isIdentified(n *node, l *connection) bool {
+	return l.identified.Load() && (l.earlier || n.clock.isCurrent(l.process, f.now()))
+}
+
+// isUnknownMethod reports whether an error is the reply of a node that does not have the method, as
+// one of an earlier release.
+func isUnknownMethod(err error) bool {
+	return isServerError(err) && strings.HasPrefix(err.Error(), "rpc: can't find ")
+}
+
+// lostReply returns the result of an attempt at a process that has exited or can't be
+// reached. If mayHaveRun is not set, no message can have reached that process, so the
+// call has not run: a process that has replaced it rejects even the first message.
+func lostReply(mayHaveRun bool) RunReply {
+	if !mayHaveRun {
+		return RunReply{Result: carrier.Refuse(carrier.PeerUnreachable)}
+	}
+	return RunReply{Result: carrier.Result{Outcome: carrier.Unknown, Reason: carrier.PeerLost, Arrived: true}}
+}
+
+// abandon cancels an attempt whose context or deadline has ended, and returns its result. The
+// reason is CallerGone if the caller disconnected, else DeadlineExceeded.
+func (f *Forwarder) abandon(ctx context.Context, a *attempt) RunReply {
+	f.cancel(a)
+	reason := carrier.DeadlineExceeded
+	if ctx.Err() != nil && context.Cause(ctx) != context.DeadlineExceeded {
+		reason = carrier.CallerGone
+	}
+	if !a.mayHaveArrived {
+		return RunReply{Result: carrier.Refuse(reason)}
+	}
+	return RunReply{Result: carrier.Fail(reason)}
+}
+
+// cancel cancels an attempt at its receiver, unless no message of it was sent. It does not wait.
+func (f *Forwarder) cancel(a *attempt) {
+	if !a.mayHaveArrived {
+		return
+	}
+	method, args := "Revoke", any(&RevokeArgs{AttemptID: a.args.AttemptID, Start: a.member.Start, LatestStart: a.args.LatestStart})
+	if a.earlier {
+		method, args = "Cancel", &CancelArgs{AttemptID: a.args.AttemptID}
+	}
+	go func() {
+		ctx, done := context.WithTimeout(context.Background(), cancelTimeout)
+		defer done()
+		// If this message is lost, the receiver ends the call at its own deadline.
+		_ = f.Call(ctx, a.member.Address, method, args, &Empty{})
+	}()
+}
--- a/internal/proxy/forwarder/forwarder.go
+++ b/internal/proxy/forwarder/forwarder.go
@@ -1,11 +1,16 @@
 // Package forwarder sends calls, member records and configurations between nodes by
-// net/rpc, over one connection for each pair of nodes and direction.
+// net/rpc. For each pair of nodes and direction there is one connection, and another one
+// for attempts with a large body, so that a cancel or a small call never waits behind one.
 //
 // An attempt has an ID, and the receiver executes each ID at most once. If the
 // connection breaks, the sender sends the attempt again with the same ID on a new
 // connection: the receiver then joins the execution in progress or starts it. A
 // restarted process has no record of earlier IDs, so an attempt names the process
 // that its first message was sent to, and any other process rejects it.
+//
+// A copy of an attempt may arrive at any later time. The sender therefore states the caller's
+// deadline by a lower bound of the receiver's steady clock, which it learns from the replies, and
+// the receiver starts nothing after that time and keeps the attempt until then.
 package forwarder
 
 import (
@@ -15,32 +20,17 @@
 	"net"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
-	"github.com/tamarackscale/tamarackscale/internal/kernel/pauser"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/balancer"
-	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
-	"github.com/tamarackscale/tamarackscale/internal/proxy/executor"
-	"github.com/tamarackscale/tamarackscale/internal/proxy/fencer"
-)
-
-const (
-	// cancelTimeout bounds the message that cancels an attempt.
-	cancelTimeout = time.Second
-	// resendDelay is the delay between sends of an attempt that a node may be executing.
-	resendDelay = 100 * time.Millisecond
-	// maxResendsBeforeFailover is how often an attempt is sent again if the call may fail
-	// over to another node instead.
-	maxResendsBeforeFailover = 1
 )
 
-// Forwarder is the sending side. It keeps one connection to each peer address.
+// Forwarder is the sending side. It keeps the connections to each peer address.
 type Forwarder struct {
 	// sender identifies this process in attempt IDs.
 	sender uint64
+	// opened is the origin of the sender's steady clock.
+	opened time.Time
 	dial   Dial
 	// lastAttempt is the number of the latest attempt.
 	lastAttempt atomic.Uint64
@@ -49,18 +39,19 @@
 	onUnresponsive atomic.Pointer[func(string)]
 
 	mu    sync.Mutex
-	peers map[string]*peer
+	nodes map[string]*node
 	// closed is set by Close. No connection is opened after that.
 	closed bool
 }
 
-// New returns a forwarder for the process of node that started at start, in Unix
+// New returns a forwarder for the process of the named node that started at start, in Unix
 // nanoseconds.
-func New(node string, start int64, dial Dial) *Forwarder {
+func New(name string, start int64, dial Dial) *Forwarder {
 	return &Forwarder{
-		sender: senderID(node, start),
+		sender: senderID(name, start),
+		opened: time.Now(),
 		dial:   dial,
-		peers:  map[string]*peer{},
+		nodes:  map[string]*node{},
 	}
 }
 
@@ -84,15 +75,32 @@
 	}
 }
 
-func (f *Forwarder) peer(address string) *peer {
+// node is what the forwarder has for the node at one address.
+type node struct {
+	clock remoteClock
+	// small is the connection for control messages and calls with small bodies, large that for
+	// attempts with large bodies.
+	small *peer
+	large *peer
+}
+
+func (f *Forwarder) node(address string) *node {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	p := f.peers[address]
-	if p == nil {
-		p = &peer{address: address, dialFunc: f.open, onUnresponsive: f.notifyUnresponsive}
-		f.peers[address] = p
+	n := f.nodes[address]
+	if n == nil {
+		n = &node{
+			small: &peer{address: address, dialFunc: f.open, onUnresponsive: f.notifyUnresponsive},
+			large: &peer{address: address, dialFunc: f.open, onUnresponsive: f.notifyUnresponsive, large: true},
+		}
+		f.nodes[address] = n
 	}
-	return p
+	return n
+}
+
+func (n *node) close() {
+	n.small.close()
+	n.large.close()
 }
 
 // open opens a connection, unless the forwarder is closed.
@@ -106,14 +114,14 @@
 	return f.dial(ctx, address)
 }
 
-// Forget closes the connection to an address at which there is no member any more.
+// Forget closes the connections to an address at which there is no member any more.
 func (f *Forwarder) Forget(address string) {
 	f.mu.Lock()
-	p := f.peers[address]
-	delete(f.peers, address)
+	n := f.nodes[address]
+	delete(f.nodes, address)
 	f.mu.Unlock()
-	if p != nil {
-		p.close()
+	if n != nil {
+		n.close()
 	}
 }
 
@@ -122,79 +130,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.closed = true
-	for _, p := range f.peers {
-		p.close()
-	}
-}
-
-// attempt is the state of one attempt until its result is known.
-type attempt struct {
-	args      RunArgs
-	job       executor.Job
-	startedAt time.Time
-	// mayHaveArrived reports whether the receiver may have received the attempt.
-	mayHaveArrived bool
-}
-
-// Forward forwards an attempt to a member and waits for its result. The context ends
-// when the caller disconnects or its deadline passes. If canFailOver is set, the call
-// may run at another node, so Forward returns after at most one resend if m is
-// unresponsive. Otherwise only m can state the outcome, and the attempt is sent again
-// until the context ends, m refuses connections, or its process is found replaced.
-func (f *Forwarder) Forward(ctx context.Context, m balancer.Member, job executor.Job, canFailOver bool) RunReply {
-	id := fencer.AttemptID{Sender: f.sender, Number: f.lastAttempt.Add(1)}
-	a := &attempt{args: RunArgs{AttemptID: id, Start: m.Start}, job: job, startedAt: time.Now()}
-	for sends := 1; ; sends++ {
-		mayHaveRun := a.mayHaveArrived
-		reply, err := f.send(ctx, m.Address, a)
-		switch {
-		case err == nil && reply.OtherProcess:
-			// The addressed process has exited. It may have run the call only if an
-			// earlier send reached it.
-			return lostReply(mayHaveRun)
-		case err == nil:
-			return reply
-		case ctx.Err() != nil:
-			go f.cancel(m.Address, id)
-			return RunReply{Result: cancelledResult(ctx, a.mayHaveArrived)}
-		case isServerError(err):
-			// The node can't take the message, as one of another version may. Run itself
-			// returns no error.
-			return lostReply(mayHaveRun)
-		case !a.mayHaveArrived && errors.Is(err, errNotSent) && sends == 1:
-			// The connection had been closed before; open a new one without delay.
-			continue
-		case !a.mayHaveArrived:
-			return lostReply(false)
-		case errors.Is(err, syscall.ECONNREFUSED), canFailOver && sends > maxResendsBeforeFailover:
-			// A refused connection means that the process has exited.
-			go f.cancel(m.Address, id)
-			return lostReply(true)
-		}
-		f.notifyUnresponsive(m.Address)
-		if sends > 1 && !pauser.Pause(ctx, resendDelay) {
-			go f.cancel(m.Address, id)
-			return RunReply{Result: cancelledResult(ctx, a.mayHaveArrived)}
-		}
-	}
-}
-
-// send sends the attempt on the open connection, or on a new one, and waits for its
-// result.
-func (f *Forwarder) send(ctx context.Context, address string, a *attempt) (RunReply, error) {
-	p := f.peer(address)
-	l, err := p.connect(ctx)
-	if err != nil {
-		return RunReply{}, err
+	for _, n := range f.nodes {
+		n.close()
 	}
-	elapsed := time.Since(a.startedAt)
-	a.args.Job = a.job
-	a.args.Job.Remaining -= elapsed
-	a.args.Job.Objective -= elapsed
-	reply := &RunReply{}
-	err = p.call(ctx, l, "Run", &a.args, reply)
-	a.mayHaveArrived = a.mayHaveArrived || !errors.Is(err, errNotSent)
-	return replyOf(reply, err)
 }
 
 // replyOf returns the reply of a call that has succeeded. After an error it does not read
@@ -207,47 +145,17 @@
 	return *reply, nil
 }
 
-// lostReply returns the result of an attempt at a process that has exited or can't be
-// reached. If mayHaveRun is not set, no message can have reached that process, so the
-// call has not run: a process that has replaced it rejects even the first message.
-func lostReply(mayHaveRun bool) RunReply {
-	if !mayHaveRun {
-		return RunReply{Result: carrier.Refuse(carrier.PeerUnreachable)}
-	}
-	return RunReply{Result: carrier.Result{Outcome: carrier.Unknown, Reason: carrier.PeerLost, Arrived: true}}
-}
-
-// cancelledResult returns the result of an attempt whose context has ended. Its reason
-// is DeadlineExceeded, or CallerGone if the caller disconnected.
-func cancelledResult(ctx context.Context, mayHaveRun bool) carrier.Result {
-	reason := carrier.CallerGone
-	if context.Cause(ctx) == context.DeadlineExceeded {
-		reason = carrier.DeadlineExceeded
-	}
-	if !mayHaveRun {
-		return carrier.Refuse(reason)
-	}
-	return carrier.Fail(reason)
-}
-
-func (f *Forwarder) cancel(address string, id fencer.AttemptID) {
-	ctx, done := context.WithTimeout(context.Background(), cancelTimeout)
-	defer done()
-	// If this message is lost, the receiver ends the call at its own deadline.
-	_ = f.Call(ctx, address, "Cancel", &CancelArgs{AttemptID: id}, &Empty{})
-}
-
 // Call calls an RPC method of the node at address. It returns an error if the node can't
 // be reached, the connection fails, the method fails or the context ends. On an error
 // other than that of the context, the connection is closed, and the next call opens a
 // new one.
 func (f *Forwarder) Call(ctx context.Context, address, method string, args, reply any) error {
-	p := f.peer(address)
+	p := f.node(address).small
 	l, err := p.connect(ctx)
 	if err != nil {
 		return err
 	}
-	return p.call(ctx, l, method, args, reply)
+	return p.call(ctx, l, method, args, reply, time.Time{})
 }
 
 // Announce sends the node's own record to the member at address and returns the member's.
--- a/internal/proxy/forwarder/messages.go
+++ b/internal/proxy/forwarder/messages.go
@@ -19,10 +19,51 @@
 
 //go:generate go tool msgp -tests=false -marshal=false -o messages_gen.go
 
-//msgp:tuple RunArgs RunReply CancelArgs Empty DrainStartArgs DrainStartReply ConfigurationArgs ConfigurationReply
+//msgp:tuple RunArgs RunReply CancelArgs AttemptArgs AttemptReply RevokeArgs ClockReply Empty DrainStartArgs DrainStartReply ConfigurationArgs ConfigurationReply
 //msgp:ignore MemberList
 
-// RunArgs forwards an attempt to the node of the VM on which the upstream runs.
+// ClockReply holds a reading of the receiver's steady clock.
+type ClockReply struct {
+	// Start is the start time of the process, in Unix nanoseconds.
+	Start int64
+	// Reading is the time since the receiver was built, by its steady clock.
+	Reading time.Duration
+}
+
+// AttemptArgs forwards an attempt to the node of the VM on which the upstream runs.
+type AttemptArgs struct {
+	AttemptID fencer.AttemptID
+	// Start is the start time of the process that must run the call, in Unix
+	// nanoseconds; a process with another start time rejects it.
+	Start int64
+	// LatestStart is the reading of the receiver's clock after which the call must not start. It
+	// is the same in all messages of an attempt.
+	LatestStart time.Duration
+	// Job holds the times left at the start of the attempt. The receiver computes those left
+	// when it begins from LatestStart, which is when Job.Remaining has passed.
+	Job executor.Job
+}
+
+// AttemptReply is the result of an attempt.
+type AttemptReply struct {
+	Run RunReply
+	// Reading is that of ClockReply. It is not set if Run.OtherProcess is.
+	Reading time.Duration
+	// Expired reports that the message arrived after the latest start and that the receiver knew
+	// no earlier one, so that it can't state whether an earlier one has run.
+	Expired bool
+}
+
+// RevokeArgs cancels an attempt, whether or not it has begun.
+type RevokeArgs struct {
+	AttemptID fencer.AttemptID
+	// Start and LatestStart are those of AttemptArgs.
+	Start       int64
+	LatestStart time.Duration
+}
+
+// RunArgs forwards an attempt of a sender that does not know the receiver's clock, as those of
+// earlier releases.
 type RunArgs struct {
 	AttemptID fencer.AttemptID
 	// Start is the start time of the process that must run the call, in Unix
@@ -44,7 +85,7 @@
 	OtherProcess bool
 }
 
-// CancelArgs cancels an attempt, whether or not it has begun.
+// CancelArgs cancels an attempt of RunArgs, whether or not it has begun.
 type CancelArgs struct{ AttemptID fencer.AttemptID }
 
 // DrainStartArgs queries when an incarnation of an upstream began to drain.
--- a/internal/proxy/forwarder/messages_gen.go
+++ b/internal/proxy/forwarder/messages_gen.go
@@ -6,6 +6,138 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// DecodeMsg implements msgp.Decodable
+func (z *AttemptArgs) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	err = z.AttemptID.DecodeMsg(dc)
+	if err != nil {
+		err = msgp.WrapError(err, "AttemptID")
+		return
+	}
+	z.Start, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "Start")
+		return
+	}
+	z.LatestStart, err = dc.ReadDuration()
+	if err != nil {
+		err = msgp.WrapError(err, "LatestStart")
+		return
+	}
+	err = z.Job.DecodeMsg(dc)
+	if err != nil {
+		err = msgp.WrapError(err, "Job")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *AttemptArgs) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 4
+	err = en.Append(0x94)
+	if err != nil {
+		return
+	}
+	err = z.AttemptID.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "AttemptID")
+		return
+	}
+	err = en.WriteInt64(z.Start)
+	if err != nil {
+		err = msgp.WrapError(err, "Start")
+		return
+	}
+	err = en.WriteDuration(z.LatestStart)
+	if err != nil {
+		err = msgp.WrapError(err, "LatestStart")
+		return
+	}
+	err = z.Job.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "Job")
+		return
+	}
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *AttemptArgs) Msgsize() (s int) {
+	s = 1 + z.AttemptID.Msgsize() + msgp.Int64Size + msgp.DurationSize + z.Job.Msgsize()
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *AttemptReply) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	err = z.Run.DecodeMsg(dc)
+	if err != nil {
+		err = msgp.WrapError(err, "Run")
+		return
+	}
+	z.Reading, err = dc.ReadDuration()
+	if err != nil {
+		err = msgp.WrapError(err, "Reading")
+		return
+	}
+	z.Expired, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Expired")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *AttemptReply) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 3
+	err = en.Append(0x93)
+	if err != nil {
+		return
+	}
+	err = z.Run.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "Run")
+		return
+	}
+	err = en.WriteDuration(z.Reading)
+	if err != nil {
+		err = msgp.WrapError(err, "Reading")
+		return
+	}
+	err = en.WriteBool(z.Expired)
+	if err != nil {
+		err = msgp.WrapError(err, "Expired")
+		return
+	}
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *AttemptReply) Msgsize() (s int) {
+	s = 1 + z.Run.Msgsize() + msgp.DurationSize + msgp.BoolSize
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *CancelArgs) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
@@ -47,6 +179,57 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *ClockReply) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Start, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "Start")
+		return
+	}
+	z.Reading, err = dc.ReadDuration()
+	if err != nil {
+		err = msgp.WrapError(err, "Reading")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z ClockReply) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.Start)
+	if err != nil {
+		err = msgp.WrapError(err, "Start")
+		return
+	}
+	err = en.WriteDuration(z.Reading)
+	if err != nil {
+		err = msgp.WrapError(err, "Reading")
+		return
+	}
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ClockReply) Msgsize() (s int) {
+	s = 1 + msgp.Int64Size + msgp.DurationSize
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *ConfigurationArgs) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
@@ -302,6 +485,67 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *RevokeArgs) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	err = z.AttemptID.DecodeMsg(dc)
+	if err != nil {
+		err = msgp.WrapError(err, "AttemptID")
+		return
+	}
+	z.Start, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "Start")
+		return
+	}
+	z.LatestStart, err = dc.ReadDuration()
+	if err != nil {
+		err = msgp.WrapError(err, "LatestStart")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *RevokeArgs) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 3
+	err = en.Append(0x93)
+	if err != nil {
+		return
+	}
+	err = z.AttemptID.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "AttemptID")
+		return
+	}
+	err = en.WriteInt64(z.Start)
+	if err != nil {
+		err = msgp.WrapError(err, "Start")
+		return
+	}
+	err = en.WriteDuration(z.LatestStart)
+	if err != nil {
+		err = msgp.WrapError(err, "LatestStart")
+		return
+	}
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *RevokeArgs) Msgsize() (s int) {
+	s = 1 + z.AttemptID.Msgsize() + msgp.Int64Size + msgp.DurationSize
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *RunArgs) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
--- a/internal/proxy/forwarder/peer.go
+++ b/internal/proxy/forwarder/peer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/rpc"
 	"os"
@@ -25,6 +26,14 @@
 	probeTimeout = 300 * time.Millisecond
 	// lookInterval is the interval between looks for data on a silent connection.
 	lookInterval = probeTimeout / 4
+	// maxSilentLooks is the number of looks in probeTimeout, and maxSilentLooksLarge that on the
+	// connection for large bodies. On that one, a probe and its reply wait for the bodies that
+	// are on the way already, so it may be silent for two seconds.
+	maxSilentLooks      = int(probeTimeout / lookInterval)
+	maxSilentLooksLarge = int(2 * time.Second / lookInterval)
+	// largeBufferBytes is the size of the kernel's send buffer on the connection for large bodies.
+	// What it holds can't be withdrawn when its caller leaves.
+	largeBufferBytes = 64 << 10
 )
 
 var (
@@ -32,7 +41,11 @@
 	// probe.
 	errUnresponsive = errors.New("connection is unresponsive")
 	// errNotSent reports that no byte of a call was written.
-	errNotSent = errors.New("connection was closed before the call was sent")
+	errNotSent = errors.New("call was not sent")
+	// errClosed is the errNotSent of a connection that was closed before.
+	errClosed = fmt.Errorf("%w: connection was closed before", errNotSent)
+	// errTooLate is the errNotSent of a call whose deadline had passed before its turn.
+	errTooLate = fmt.Errorf("%w: deadline has passed", errNotSent)
 	// errNoConnection reports that no connection was opened within connectTimeout.
 	errNoConnection = errors.New("timed out waiting for a connection")
 )
@@ -82,8 +95,43 @@
 	conn *monitoredConn
 	// lastProbe is the time of the last probe, in nanoseconds after conn was opened.
 	lastProbe atomic.Int64
+	// turn holds an element while a message is being written. net/rpc would make the others wait
+	// for a lock, which they could not leave.
+	turn chan struct{}
+	// identifying holds an element while the first exchange is under way. Once identified is set,
+	// process is the start time of the receiver's process, unless earlier is set: the receiver is
+	// of an earlier release, which does not state its clock.
+	identifying chan struct{}
+	identified  atomic.Bool
+	process     int64
+	earlier     bool
 }
 
+// takeTurn waits until no other message is being written. It returns an errNotSent if the context
+// ends or the time until has passed before; a zero time never does. Otherwise releaseTurn must be
+// called.
+func (l *connection) takeTurn(ctx context.Context, until time.Time) error {
+	select {
+	case l.turn <- struct{}{}:
+	case <-ctx.Done():
+		return withdrawn(ctx)
+	}
+	switch {
+	case ctx.Err() != nil:
+		l.releaseTurn()
+		return withdrawn(ctx)
+	case !until.IsZero() && time.Now().After(until):
+		l.releaseTurn()
+		return errTooLate
+	}
+	return nil
+}
+
+func (l *connection) releaseTurn() { <-l.turn }
+
+// withdrawn returns the errNotSent of a call whose context has ended.
+func withdrawn(ctx context.Context) error { return fmt.Errorf("%w: %w", errNotSent, ctx.Err()) }
+
 // Dial opens a connection to an address of the form host:port.
 type Dial func(ctx context.Context, address string) (net.Conn, error)
 
@@ -93,6 +141,8 @@
 	dialFunc Dial
 	// onUnresponsive is called when a connection was closed as unresponsive.
 	onUnresponsive func(address string)
+	// large marks the connection for large bodies.
+	large bool
 
 	mu         sync.Mutex
 	connection *connection
@@ -173,13 +223,20 @@
 		_ = conn.Close()
 		return
 	}
+	if buffered, ok := conn.(interface{ SetWriteBuffer(bytes int) error }); ok && p.large {
+		// Without the smaller buffer the connection works too.
+		_ = buffered.SetWriteBuffer(largeBufferBytes)
+	}
 	p.connection = newConnection(conn, time.Now())
 }
 
 // newConnection starts an RPC client on a connection that was opened just now.
 func newConnection(conn net.Conn, now time.Time) *connection {
 	m := &monitoredConn{boundedConn: boundedConn{Conn: conn, timeout: callWriteTimeout}, opened: now}
-	l := &connection{Client: rpc.NewClientWithCodec(coder.NewClientCodec(m)), conn: m}
+	l := &connection{
+		Client: rpc.NewClientWithCodec(coder.NewClientCodec(m)), conn: m,
+		turn: make(chan struct{}, 1), identifying: make(chan struct{}, 1),
+	}
 	l.lastProbe.Store(-int64(probeTimeout))
 	return l
 }
@@ -228,18 +285,36 @@
 	return errors.As(err, &replied)
 }
 
-// call makes one call on a connection, which it probes while no data arrives. After an
-// error other than that of the context or one that the peer replied, the connection is
-// closed.
-func (p *peer) call(ctx context.Context, l *connection, method string, args, reply any) error {
+// call makes one call on a connection, which it probes while no data arrives. The message is not
+// written if the context ends or the time until passes before its turn. After an error other than
+// that of the context or one that the peer replied, the connection is closed.
+func (p *peer) call(ctx context.Context, l *connection, method string, args, reply any, until time.Time) error {
+	pending, err := p.write(ctx, l, method, args, reply, until)
+	if err != nil {
+		return err
+	}
+	return p.await(ctx, l, pending)
+}
+
+// write writes the message of a call when it is its turn.
+func (p *peer) write(ctx context.Context, l *connection, method string, args, reply any, until time.Time) (*rpc.Call, error) {
+	if err := l.takeTurn(ctx, until); err != nil {
+		return nil, err
+	}
+	defer l.releaseTurn()
 	writesBefore := l.conn.writes.Load()
 	pending := l.Go(qualified(method), args, reply, make(chan *rpc.Call, 1))
 	if l.conn.writes.Load() == writesBefore {
 		// Go writes the request before it returns, so a connection without a write since
 		// then was already closed.
 		p.drop(l)
-		return errNotSent
+		return nil, errClosed
 	}
+	return pending, nil
+}
+
+// await waits for the reply to a message that was written.
+func (p *peer) await(ctx context.Context, l *connection, pending *rpc.Call) error {
 	// A long message may take a while to write. Until then no reply to it can arrive.
 	start := time.Now()
 	timer := time.NewTimer(probeAfter)
@@ -260,19 +335,41 @@
 			}
 			// The first silent look probes. If this process was stalled, the reply to it
 			// still has the whole probeTimeout, since the looks count and not the time.
-			if silentLooks++; silentLooks > int(probeTimeout/lookInterval) {
+			if silentLooks++; silentLooks > p.maxSilentLooks() {
 				p.drop(l)
 				p.onUnresponsive(p.address)
 				return errUnresponsive
 			}
-			if l.probeDue(now) {
-				l.Go(serviceName+".Ping", &Empty{}, &Empty{}, make(chan *rpc.Call, 1))
+			if !l.probe(now) {
+				// A write fails by itself if the peer takes no data.
+				silentLooks = 0
 			}
 			timer.Reset(lookInterval)
 		}
 	}
 }
 
+func (p *peer) maxSilentLooks() int {
+	if p.large {
+		return maxSilentLooksLarge
+	}
+	return maxSilentLooks
+}
+
+// probe pings the peer if that is due. It returns false if another message is being written.
+func (l *connection) probe(now time.Time) bool {
+	select {
+	case l.turn <- struct{}{}:
+	default:
+		return false
+	}
+	defer l.releaseTurn()
+	if l.probeDue(now) {
+		l.Go(serviceName+".Ping", &Empty{}, &Empty{}, make(chan *rpc.Call, 1))
+	}
+	return true
+}
+
 // probeDue reports whether the peer is to be pinged now, at most once per probeTimeout. Any
 // received data shows that the connection is alive.
 func (l *connection) probeDue(now time.Time) bool {
--- a/internal/proxy/forwarder/receiver.go
+++ b/internal/proxy/forwarder/receiver.go
@@ -36,7 +36,9 @@
 // Receiver is the receiving side. It serves the connections of other nodes.
 type Receiver struct {
 	// start is the start time of the process, in Unix nanoseconds.
-	start    int64
+	start int64
+	// opened is the origin of the receiver's steady clock.
+	opened   time.Time
 	executor *executor.Executor
 	node     Node
 	server   *rpc.Server
@@ -54,7 +56,7 @@
 // nanoseconds. It fails if net/rpc does not accept the methods that it exports.
 func NewReceiver(start int64, e *executor.Executor, n Node) (*Receiver, error) {
 	r := &Receiver{
-		start: start, executor: e, node: n, server: rpc.NewServer(), fencer: fencer.New(),
+		start: start, opened: time.Now(), executor: e, node: n, server: rpc.NewServer(), fencer: fencer.New(),
 		conns: map[net.Conn]struct{}{},
 	}
 	return r, r.server.RegisterName(serviceName, &methods{r})
@@ -112,44 +114,6 @@
 // Receiver are not exported.
 type methods struct{ r *Receiver }
 
-// Run executes an attempt, or waits for its result if the execution has already begun.
-func (m *methods) Run(args *RunArgs, reply *RunReply) error {
-	r := m.r
-	if args.Start != r.start {
-		reply.OtherProcess = true
-		return nil
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	r.mu.Lock()
-	entry, isNew := r.fencer.Begin(args.AttemptID, cancel, time.Now())
-	r.mu.Unlock()
-	if isNew {
-		result, upstreamTime := r.executor.Execute(ctx, args.Job)
-		r.mu.Lock()
-		entry.UpstreamTime = upstreamTime
-		r.fencer.Finish(entry, result, time.Now())
-		r.mu.Unlock()
-	}
-	<-entry.Done
-	r.mu.Lock()
-	reply.Result, reply.UpstreamTime = entry.Result, entry.UpstreamTime
-	r.mu.Unlock()
-	reply.Load, reply.Version = r.node.Load(), r.node.Version()
-	return nil
-}
-
-// Cancel cancels an attempt. One that has not begun will not begin later.
-func (m *methods) Cancel(args *CancelArgs, _ *Empty) error {
-	m.r.mu.Lock()
-	entry := m.r.fencer.Revoke(args.AttemptID, time.Now())
-	m.r.mu.Unlock()
-	if entry != nil {
-		entry.Cancel()
-	}
-	return nil
-}
-
 // Ping does nothing; its reply shows that the connection is alive.
 func (m *methods) Ping(_ *Empty, _ *Empty) error { return nil }
 
--- a/internal/proxy/forwarder/receiver_test.go
+++ b/internal/proxy/forwarder/receiver_test.go
@@ -93,7 +93,7 @@
 		r, err := NewReceiver(start, nil, fakeNode{})
 		So(err, ShouldBeNil)
 		id := fencer.AttemptID{Sender: 1, Number: 1}
-		entry, _ := r.fencer.Begin(id, func() {}, time.Now())
+		entry, _ := r.fencer.Begin(id, time.Time{}, func() {}, time.Now())
 		entry.UpstreamTime = 40 * time.Millisecond
 		r.fencer.Finish(entry, carrier.Result{Outcome: carrier.Run}, time.Now())
 		var reply RunReply
@@ -117,7 +117,7 @@
 				return near, nil
 			})
 			id := fencer.AttemptID{Sender: 1, Number: 1}
-			entry, _ := r.fencer.Begin(id, func() {}, time.Now())
+			entry, _ := r.fencer.Begin(id, time.Time{}, func() {}, time.Now())
 			done := make(chan error)
 			go func() {
 				done <- f.Call(context.Background(), "far", "Run", &RunArgs{AttemptID: id, Start: 20}, &RunReply{})
--- a/standin/network/network.go
+++ b/standin/network/network.go
@@ -23,6 +23,8 @@
 	// silence ends the delivery of data on the connections that were opened before; it is
 	// closed and replaced by Silence.
 	silence chan struct{}
+	// linger makes connections deliver what was written to them before they were closed.
+	linger atomic.Bool
 }
 
 // New returns a network without faults.
@@ -70,6 +72,10 @@
 	n.delay = rule
 }
 
+// Linger makes all connections deliver the delayed data that was written to them before they were
+// closed, as TCP does. Otherwise it is discarded.
+func (n *Network) Linger() { n.linger.Store(true) }
+
 // link reports whether two hosts are cut off from each other, and the delay from the
 // first to the second.
 func (n *Network) link(from, to string) (bool, time.Duration) {
@@ -237,8 +243,10 @@
 
 	startQueue sync.Once
 	queue      chan delayedWrite
-	done       chan struct{}
-	closeOnce  sync.Once
+	// queued is set after queue.
+	queued    atomic.Bool
+	done      chan struct{}
+	closeOnce sync.Once
 }
 
 type delayedWrite struct {
@@ -269,6 +277,7 @@
 	if delay > 0 {
 		c.startQueue.Do(func() {
 			c.queue = make(chan delayedWrite, queueLength)
+			c.queued.Store(true)
 			go c.deliver()
 		})
 	}
@@ -283,18 +292,44 @@
 	}
 }
 
-// deliver writes the queued data to the pipe when it is due. It discards the rest when the
-// connection is closed.
+// deliver writes the queued data to the pipe when it is due. When the connection is closed, it
+// discards the rest, or delivers it and closes the pipe if the network lingers.
 func (c *conn) deliver() {
 	for {
 		select {
 		case <-c.done:
+			if c.network.linger.Load() {
+				c.deliverRest()
+			}
 			return
 		case next := <-c.queue:
-			time.Sleep(time.Until(next.due))
-			if _, err := c.Conn.Write(next.data); err != nil {
+			if !c.deliverOne(next) {
+				return
+			}
+		}
+	}
+}
+
+func (c *conn) deliverOne(next delayedWrite) bool {
+	time.Sleep(time.Until(next.due))
+	if c.network.linger.Load() {
+		// The sender's deadline was for the write that has returned already.
+		_ = c.SetWriteDeadline(time.Time{})
+	}
+	_, err := c.Conn.Write(next.data)
+	return err == nil
+}
+
+func (c *conn) deliverRest() {
+	defer func() { _ = c.Conn.Close() }()
+	for {
+		select {
+		case next := <-c.queue:
+			if !c.deliverOne(next) {
 				return
 			}
+		default:
+			return
 		}
 	}
 }
@@ -302,5 +337,9 @@
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.closeOnce.Do(func() { close(c.done) })
+	if c.queued.Load() && c.network.linger.Load() {
+		// The end that closes reads no more; deliver closes the pipe.
+		return c.SetReadDeadline(time.Unix(1, 0))
+	}
 	return c.Conn.Close()
 }
