--- a/internal/proxy/executor/executor.go
+++ b/internal/proxy/executor/executor.go
@@ -269,6 +269,11 @@
 	if err != nil {
 		return exchangeResult{Result: e.markUnreachable(ctx, upstream.Incarnation(), now)}
 	}
+	if !time.Now().Before(deadline) {
+		// The slot was granted after the deadline, within deadlineMargin, or the dial took long.
+		_ = c.Close()
+		return carrier.Refuse(carrier.DeadlineExceeded), false
+	}
 	result := e.exchange(ctx, c, upstream.Address, UpstreamRequest{
 		Call: job.Call, Instance: upstream.Instance, CallerService: job.CallerService, Remaining: time.Until(deadline),
 	})
