--- a/internal/proxy/executor/executor.go
+++ b/internal/proxy/executor/executor.go
@@ -272,7 +272,7 @@
 	if !time.Now().Before(deadline) {
 		// The slot was granted after the deadline, within deadlineMargin, or the dial took long.
 		_ = c.Close()
-		return carrier.Refuse(carrier.DeadlineExceeded), false
+		return exchangeResult{Result: carrier.Refuse(carrier.DeadlineExceeded)}
 	}
 	result := e.exchange(ctx, c, upstream.Address, UpstreamRequest{
 		Call: job.Call, Instance: upstream.Instance, CallerService: job.CallerService, Remaining: time.Until(deadline),
