queuer: calls with large answers start as the link of their VM takes them

Cause: calls were placed and admitted by slots alone. Change: the queue plans the link for kinds whose mean answer is 16 KiB or more: a call starts when its answer can leave within 100 ms of its end; the wait counts towards refusals and the waits that other nodes see. Small calls pass those that wait for the link. Such calls use the connection for large bodies. Ruled out: a limit on concurrent calls by kind, which leaves the link idle when service times vary. Kinds with small answers take the former path.

--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -43,6 +43,9 @@
 	Network dialer.Network
 }
 
+// bytesPerMegabit converts Mbit/s to bytes per second.
+const bytesPerMegabit = 1e6 / 8
+
 // keepAlive detects within 3 seconds that the peer of an idle connection is gone or
 // unreachable: after one idle second, two probes follow at intervals of a second.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
@@ -109,7 +112,7 @@
 	p.executor = executor.New(executor.Config{
 		Dialect: platform.HTTP{}, Dial: p.network.Dial, DrainTime: p.bounds.DrainTime.Std(), Changed: p.publishSelf,
 		Observe: p.telemetry, Restarted: !s.FirstStart,
-		Budget: budgetOf(p.bounds), Members: p.memberCount,
+		Budget: budgetOf(p.bounds), Members: p.memberCount, LinkRate: s.Node.LinkRate * bytesPerMegabit,
 		Admit: func(kind string, rank int, now time.Time) (time.Duration, bool) {
 			return p.dispatcher.Admit(kind, rank, now)
 		},
--- a/internal/proxy/balancer/balancer.go
+++ b/internal/proxy/balancer/balancer.go
@@ -391,6 +391,9 @@
 	return all, deviation
 }
 
+// MeanBytes returns the mean total size of the bodies of request and answer of a kind of call.
+func (b *Balancer) MeanBytes(kind string) float64 { return b.meanBytes[kind] }
+
 // maxUtilisation is the fraction of its slots in use below which an upstream has capacity
 // for a hedge.
 const maxUtilisation = 0.8
--- a/internal/proxy/dispatcher/dispatcher.go
+++ b/internal/proxy/dispatcher/dispatcher.go
@@ -326,6 +326,17 @@
 	d.retrier.RecordCall(service, time.Now())
 }
 
+// hasLargeBodies reports whether the calls of a kind have large bodies.
+func (d *Dispatcher) hasLargeBodies(kind string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.Balancer.MeanBytes(kind) >= largeBodyBytes
+}
+
+// largeBodyBytes is the mean size from which the bodies of a kind of call travel apart from small
+// messages, which would wait behind them.
+const largeBodyBytes = 16 << 10
+
 // WithBalancer calls f with the balancer while holding its lock.
 func (d *Dispatcher) WithBalancer(f func(b *balancer.Balancer)) {
 	d.mu.Lock()
--- a/internal/proxy/dispatcher/placement.go
+++ b/internal/proxy/dispatcher/placement.go
@@ -222,6 +222,7 @@
 		Call: p.call, CallerService: p.d.Service(), Service: p.match.Service, Kind: p.match.Name,
 		Rank: p.match.Rank, Nested: p.event.Nested, Idempotent: p.match.Idempotent,
 		Objective: p.objective - spent, Remaining: p.timeout - spent, Waited: p.event.Waited + spent,
+		LargeBodies: p.d.hasLargeBodies(p.match.Name),
 	}
 }
 
@@ -229,6 +230,7 @@
 	if a.member.Node != p.d.Node {
 		return p.d.Forward.Forward(ctx, a.member, job, !a.last)
 	}
+	job.Local = true
 	result, upstreamTime := p.d.Execute.Execute(ctx, job)
 	return forwarder.RunReply{Result: result, UpstreamTime: upstreamTime, Load: p.d.Execute.Load(time.Now())}
 }
--- a/internal/proxy/executor/executor.go
+++ b/internal/proxy/executor/executor.go
@@ -48,6 +48,8 @@
 	// Restarted reports whether a former process of the node may have sent calls to the
 	// upstream.
 	Restarted bool
+	// LinkRate is the rate of the VM's network link in bytes per second; 0 if unknown.
+	LinkRate float64
 	// Budget is the retry budget of a service, of which resends use a part, and Members returns
 	// the number of nodes that share it.
 	Budget  retrier.Budget
@@ -91,8 +93,10 @@
 
 // New returns an executor without an upstream.
 func New(config Config) *Executor {
+	queue := queuer.New()
+	queue.LimitLink(config.LinkRate)
 	return &Executor{
-		config: config, dialect: config.Dialect, pool: newPool(config.Dial), tracker: tracker.New(), queue: queuer.New(),
+		config: config, dialect: config.Dialect, pool: newPool(config.Dial), tracker: tracker.New(), queue: queue,
 		running: map[string]*running{}, unproven: config.Restarted, resends: retrier.NewResender(config.Budget),
 	}
 }
@@ -138,7 +142,7 @@
 	ctx, cancel := context.WithDeadline(ctx, deadline.Add(deadlineMargin))
 	defer cancel()
 	ticket := queuer.NewTicket(job.Kind, job.Rank, job.Nested, now.Add(job.Objective), deadline)
-	ticket.Arrived = now.Add(-job.Waited)
+	ticket.Arrived, ticket.Local = now.Add(-job.Waited), job.Local
 	if !job.Nested && e.config.Admit != nil {
 		if wait, admitted := e.config.Admit(job.Kind, job.Rank, now); !admitted {
 			return carrier.Result{Outcome: carrier.NotRun, Reason: carrier.UrgentFirst, Wait: wait}, 0
@@ -158,6 +162,7 @@
 	now = time.Now()
 	e.mu.Lock()
 	e.finished(job.Call.ID)
+	e.queue.RecordAnswer(ticket, len(result.Answer.Body))
 	if result.Reason == carrier.CallerGone {
 		e.abandon(ticket, now)
 	} else {
--- a/internal/proxy/executor/job.go
+++ b/internal/proxy/executor/job.go
@@ -31,6 +31,10 @@
 	Remaining time.Duration
 	// Waited is how long the caller has waited since its first attempt.
 	Waited time.Duration
+	// Local reports whether the caller is on the upstream's VM, so that the answer does not leave it.
+	// LargeBodies reports whether calls of the kind have large bodies. Nodes do not exchange either.
+	Local       bool `msg:"-"`
+	LargeBodies bool `msg:"-"`
 }
 
 // At returns the job as of the time at which the given time remains until its deadline.
--- a/internal/proxy/forwarder/forward.go
+++ b/internal/proxy/forwarder/forward.go
@@ -96,7 +96,7 @@
 // result.
 func (f *Forwarder) send(ctx context.Context, a *attempt) (RunReply, error) {
 	p := a.node.small
-	if len(a.args.Job.Call.Body) > largeBodyBytes {
+	if len(a.args.Job.Call.Body) > largeBodyBytes || a.args.Job.LargeBodies {
 		p = a.node.large
 	}
 	l, err := p.connect(ctx)
--- a/internal/proxy/queuer/estimate.go
+++ b/internal/proxy/queuer/estimate.go
@@ -17,10 +17,10 @@
 	next := 0
 	for class := range waits {
 		for next < len(q.waiting) && q.class(q.waiting[next], now) <= Class(class) {
-			schedule.assign(q.ServiceTime(q.waiting[next].Kind))
+			schedule.assign(q.ServiceTime(q.waiting[next].Kind), q.link.timeOf(q.waiting[next]))
 			next++
 		}
-		waits[class] = q.inflateWait(schedule.earliest(), Class(class), now)
+		waits[class] = q.inflateWait(schedule.earliest(0, 0), Class(class), now)
 	}
 	return waits
 }
@@ -77,7 +77,7 @@
 // and a new one need.
 func (q *Queue) schedule(now time.Time) schedule {
 	used := max(min(q.Slots, len(q.running)+len(q.waiting)+1), len(q.running))
-	s := schedule{now: now, pacer: q.pacer, slots: make([]time.Duration, used)}
+	s := schedule{now: now, pacer: q.pacer, link: q.link, slots: make([]time.Duration, used)}
 	i := 0
 	for t := range q.running {
 		mean := q.ServiceTime(t.Kind)
@@ -90,8 +90,9 @@
 // schedule is a plan of the starts of waiting calls.
 type schedule struct {
 	now time.Time
-	// pacer holds the limit of the rate with the planned starts.
+	// pacer holds the limit of the rate with the planned starts, link the link with their answers.
 	pacer pacer
+	link  link
 	// slots holds the time from now until each slot becomes free.
 	slots []time.Duration
 }
@@ -107,12 +108,26 @@
 	return best
 }
 
-// earliest is the time until the next call can start.
-func (s *schedule) earliest() time.Duration { return max(s.slots[s.nextFree()], s.pacer.wait(s.now)) }
+// slotFree is the time until the next slot is free and the limit of the rate allows a start.
+func (s *schedule) slotFree() time.Duration { return max(s.slots[s.nextFree()], s.pacer.wait(s.now)) }
 
-// assign adds a call with the given service time to the slot that is free first.
-func (s *schedule) assign(service time.Duration) {
-	start := s.earliest()
+// earliest is the time until a call can start that has the given service time and needs the link for
+// the given time.
+func (s *schedule) earliest(service, linkTime time.Duration) time.Duration {
+	if linkTime == 0 {
+		return s.slotFree()
+	}
+	return max(s.slotFree(), s.link.wait(service, s.now))
+}
+
+// assign adds a call to the slot that is free first. One that waits for the link leaves the slot to
+// others until then, and is planned on the link only.
+func (s *schedule) assign(service, linkTime time.Duration) {
+	start := s.earliest(service, linkTime)
+	s.link.start(linkTime, s.now.Add(start))
+	if start > s.slotFree() {
+		return
+	}
 	s.pacer.start(s.now.Add(start))
 	s.slots[s.nextFree()] = start + service
 }
--- a/internal/proxy/queuer/queuer.go
+++ b/internal/proxy/queuer/queuer.go
@@ -78,9 +78,13 @@
 	Arrived time.Time
 	// Settled receives nil when the ticket gets a slot, or the refusal if it gets none.
 	Settled chan *Refusal
+	// Local marks a call whose answer does not leave the VM.
+	Local bool
 
 	sequence  uint64
 	grantedAt time.Time
+	// linkTime is the time on the link that is planned for the answer of a call that has a slot.
+	linkTime time.Duration
 }
 
 // Refusal states why a ticket gets no slot.
@@ -100,6 +104,7 @@
 	Slots int
 
 	pacer        pacer
+	link         link
 	waiting      []*Ticket
 	running      map[*Ticket]struct{}
 	serviceTimes map[string]time.Duration
@@ -168,7 +173,11 @@
 	if len(q.waiting) == 0 || len(q.running) >= q.Slots {
 		return 0, false
 	}
-	return q.pacer.wait(now), true
+	shortest := q.startDelay(q.waiting[0], now)
+	for _, t := range q.waiting[1:] {
+		shortest = min(shortest, q.startDelay(t, now))
+	}
+	return shortest, true
 }
 
 // Offer adds a ticket to the queue. It may grant free slots, shed the new ticket, and shed
@@ -194,7 +203,10 @@
 	}
 	q.order(now)
 	for len(q.running) < q.Slots && len(q.waiting) > 0 && q.pacer.wait(now) == 0 {
-		index := q.pick()
+		index := q.pick(now)
+		if index < 0 {
+			break
+		}
 		if t := q.waiting[index]; len(q.waiting) > 1 && now.Add(q.minRemaining(t)).After(t.Deadline) {
 			q.waiting = append(q.waiting[:index], q.waiting[index+1:]...)
 			t.Settled <- &Refusal{}
@@ -235,18 +247,36 @@
 	return time.Duration(minRemainingFactor * float64(q.ServiceTime(t.Kind)))
 }
 
-// pick returns the index of the ticket that goes next.
-func (q *Queue) pick() int {
-	q.picks++
-	if q.picks%oldestFirstInterval != 0 {
-		return 0
+// startDelay returns the time until the limits of the rate and of the link let a ticket start.
+func (q *Queue) startDelay(t *Ticket, now time.Time) time.Duration {
+	delay := q.pacer.wait(now)
+	if q.link.timeOf(t) > 0 {
+		delay = max(delay, q.link.wait(q.ServiceTime(t.Kind), now))
 	}
-	oldest := 0
+	return delay
+}
+
+// pick returns the index of the ticket that goes next; -1 if the link lets none start.
+func (q *Queue) pick(now time.Time) int {
+	next, oldest := -1, -1
 	for i, t := range q.waiting {
+		if q.startDelay(t, now) > 0 {
+			continue
+		}
+		if next < 0 {
+			next, oldest = i, i
+		}
 		if t.Arrived.Before(q.waiting[oldest].Arrived) {
 			oldest = i
 		}
 	}
+	if next < 0 {
+		return -1
+	}
+	q.picks++
+	if q.picks%oldestFirstInterval != 0 {
+		return next
+	}
 	return oldest
 }
 
@@ -255,6 +285,8 @@
 	q.waiting = append(q.waiting[:index], q.waiting[index+1:]...)
 	t.grantedAt = now
 	q.pacer.start(now)
+	t.linkTime = q.link.timeOf(t)
+	q.link.start(t.linkTime, now)
 	q.running[t] = struct{}{}
 	t.Settled <- nil
 }
@@ -268,12 +300,13 @@
 	schedule := q.schedule(now)
 	kept := q.waiting[:0]
 	for _, t := range q.waiting {
-		wait := q.expectedWait(t, schedule.earliest(), now)
+		needed := q.link.timeOf(t)
+		wait := q.expectedWait(t, schedule.earliest(q.ServiceTime(t.Kind), needed), now)
 		if now.Add(wait + q.minRemaining(t)).After(t.Deadline) {
 			t.Settled <- &Refusal{Wait: wait}
 			continue
 		}
-		schedule.assign(q.ServiceTime(t.Kind))
+		schedule.assign(q.ServiceTime(t.Kind), needed)
 		kept = append(kept, t)
 	}
 	clear(q.waiting[len(kept):])
