release: versions of a service are rolled out in steps

Cause: an operator's order to move a service to a version had no effect; the nodes kept to the established version.

The node that holds a key of the system under a lease is the controller while an order is open. The store client and the stand-in have transactions with conditions.

--- a/internal/platform/keeper/events.go
+++ b/internal/platform/keeper/events.go
@@ -62,9 +62,20 @@
 	Lease Lease
 }
 
-// Transaction is a set of writes that is applied as a whole. It has no conditions: one on a
-// revision of a former era could hold by chance.
-type Transaction struct{ Writes []Write }
+// Condition requires that a key has a revision.
+type Condition struct {
+	Key string
+	// Expected has the revision 0 if the key must not exist. Its era is that in which the revision was
+	// read: in another one, the revision could hold by chance.
+	Expected Position
+}
+
+// Transaction is a set of writes that is applied as a whole, or not at all if a condition does not
+// hold.
+type Transaction struct {
+	Conditions []Condition
+	Writes     []Write
+}
 
 // Consistency selects how current the result of a read is.
 type Consistency bool
@@ -91,7 +102,9 @@
 	Watch(ctx context.Context, prefix string, after Position, wait time.Duration) (Events, error)
 	// Commit applies a transaction. The error is a *NotFoundError if a lease has ended or is
 	// of another era. In the latter case the keys may be bound to another's lease, and must
-	// be written again.
+	// be written again. It is a *ConflictError if a condition does not hold, and a
+	// *HistoryLostError if one is of another era; if the era has just begun, the writes may have
+	// been applied nevertheless.
 	Commit(ctx context.Context, t Transaction) error
 	// Lease grants a lease.
 	Lease(ctx context.Context, ttl time.Duration) (Lease, error)
--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -135,7 +135,7 @@
 		},
 	})
 	if p.rollouts != nil {
-		p.dispatcher.Restrict = p.rollouts.restrict
+		p.dispatcher.Versions = p.rollouts.assigner
 	}
 	p.acceptor = acceptor.New(platform.HTTP{}, p.dispatcher, p.telemetry)
 	p.telemetry.OnVersion(p.subscriber.Hint)
@@ -161,7 +161,8 @@
 		Seeds: s.SeedAddresses(), FirstStart: s.FirstStart, UpstreamKnown: p.known,
 	})
 	p.subscriber = subscriber.New(subscriber.Config{
-		Store: store, Key: platform.ConfigurationKey, Decode: platform.DecodeConfiguration,
+		Orders: p.buildController(s, store),
+		Store:  store, Key: platform.ConfigurationKey, Decode: platform.DecodeConfiguration,
 		Peers: p.peers, RemotePeers: p.remotePeers, Relays: p.relays, OwnAddress: s.PeerAddress(), Request: p.forwarder.Configuration, Observe: p.telemetry,
 		Discovered: p.finder.Discovered(), FirstStart: s.FirstStart, Seed: p.forwarder.Sender(),
 	})
@@ -207,6 +208,9 @@
 		}
 		p.serveHTTP(metrics, p.telemetry.Handler())
 	}
+	if p.rollouts != nil {
+		go p.rollouts.controller.Run(ctx)
+	}
 	go p.subscriber.Run(ctx)
 	go p.finder.Run(ctx)
 	go func() {
--- a/internal/proxy/assembler/rollouts.go
+++ b/internal/proxy/assembler/rollouts.go
@@ -2,32 +2,79 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/tamarackscale/tamarackscale/internal/platform/keeper"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/balancer"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/forwarder"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/subscriber"
+	"github.com/tamarackscale/tamarackscale/internal/release/assigner"
+	"github.com/tamarackscale/tamarackscale/internal/release/controller"
+	"github.com/tamarackscale/tamarackscale/internal/settings/reader"
+	"github.com/tamarackscale/tamarackscale/platform"
 )
 
 // rolloutService is the name of the RPC service for other nodes that roll versions out.
 const rolloutService = "Rollout"
 
 // rollouts holds what a node needs to roll versions of a service out.
-type rollouts struct{}
+type rollouts struct {
+	assigner   *assigner.Assigner
+	controller *controller.Controller
+}
 
-// buildRollouts builds what the node needs to roll versions out. It returns an error if the RPC
-// methods for other nodes can't be registered.
+// buildRollouts builds what the node needs to roll versions out, except the controller. It returns an
+// error if the RPC methods for other nodes can't be registered.
 func (p *Proxy) buildRollouts() error {
-	p.rollouts = &rollouts{}
+	p.rollouts = &rollouts{assigner: assigner.New(p.forwarder.Sender())}
 	p.messenger = versionedMessenger{p.forwarder}
 	return errors.Wrap(p.receiver.Register(rolloutService, &rolloutMethods{p}), "register RPC methods of rollouts")
 }
 
-// restrict implements dispatcher.Config.Restrict. Without a plan, a call goes to the established
-// version only.
-func (r *rollouts) restrict(b *balancer.Balancer, info *balancer.PickInfo, _ time.Time) {
-	info.Versions = balancer.VersionFilter{Version: b.EstablishedVersion(info.Service)}
+// buildController builds the controller and returns what the subscriber passes to it.
+func (p *Proxy) buildController(s *reader.Settings, store keeper.EventStore) subscriber.Orders {
+	if p.rollouts == nil {
+		return subscriber.Orders{}
+	}
+	c := controller.New(controller.Config{
+		Store: store, Node: fmt.Sprintf("%s/%d", s.Node.ID, p.incarnation), Exposure: s.Rollouts.ExposureShare,
+		OrderPrefix: platform.OrderPrefix, StatusPrefix: platform.StatusPrefix,
+		DecodeOrder: platform.DecodeOrder, EncodeStatus: platform.EncodeStatus, DecodeStatus: platform.DecodeStatus,
+		Members: p.Members, Exchange: p.exchangePlans, Heard: p.rollouts.assigner.Plan, Observe: p.telemetry,
+	})
+	p.rollouts.controller = c
+	return subscriber.Orders{
+		WatchPrefix: platform.OperatorPrefix, Prefix: platform.OrderPrefix, Reset: c.Reset, Changed: c.Changed, Ended: c.Ended,
+	}
+}
+
+// exchangePlans implements controller.Config.Exchange.
+func (p *Proxy) exchangePlans(ctx context.Context, m balancer.Member, args *assigner.ExchangeArgs) (assigner.ExchangeReply, bool, error) {
+	if m.Node == p.settings.Load().Node.ID {
+		return p.rollouts.exchange(args), false, nil
+	}
+	reply := &assigner.ExchangeReply{}
+	if err := p.forwarder.CallService(ctx, m.Address, rolloutService+".Exchange", args, reply); err != nil {
+		// After an error, the reply may still be written to.
+		return assigner.ExchangeReply{}, forwarder.IsServerError(err), err
+	}
+	return *reply, false, nil
+}
+
+// exchange follows the plans and returns a report for each of them.
+func (r *rollouts) exchange(args *assigner.ExchangeArgs) assigner.ExchangeReply {
+	var reply assigner.ExchangeReply
+	now := time.Now()
+	for _, plan := range args.Plans {
+		r.assigner.Apply(plan, now)
+		if report, known := r.assigner.Report(plan.Service, now); known {
+			reply.Reports = append(reply.Reports, report)
+		}
+	}
+	return reply
 }
 
 // versionedMessenger exchanges member records that have versions. A node that does not roll versions
@@ -80,3 +127,9 @@
 	}
 	return nil
 }
+
+// Exchange follows the plans of the rollout controller and replies what the node has counted.
+func (r *rolloutMethods) Exchange(args *assigner.ExchangeArgs, reply *assigner.ExchangeReply) error {
+	*reply = r.p.rollouts.exchange(args)
+	return nil
+}
--- a/internal/proxy/balancer/version.go
+++ b/internal/proxy/balancer/version.go
@@ -1,5 +1,7 @@
 package balancer
 
+import "time"
+
 // VersionFilter restricts the upstreams of a call by version.
 type VersionFilter struct {
 	// Version is the version that the upstream must have; empty allows any.
@@ -72,6 +74,16 @@
 // otherwise; empty if no version is known.
 func (b *Balancer) EstablishedVersion(service string) string { return b.established[service] }
 
+// Responsive reports whether an upstream that Pick could choose is not ejected.
+func (b *Balancer) Responsive(info PickInfo, now time.Time) bool {
+	for _, c := range b.services[info.Service] {
+		if info.Versions.allows(c.Member) && !contains(info.Tried, c.Node) && !now.Before(c.ejectedUntil) {
+			return true
+		}
+	}
+	return false
+}
+
 // OfVersion returns the members of a service whose upstream has a version, in no particular order.
 func (b *Balancer) OfVersion(service, version string) []Member {
 	var members []Member
--- a/internal/proxy/dispatcher/dispatcher.go
+++ b/internal/proxy/dispatcher/dispatcher.go
@@ -115,9 +115,18 @@
 	// End returns the time by which calls must have ended; zero if there is none. Nil
 	// means that there never is.
 	End func() time.Time
-	// Restrict restricts an attempt to upstreams of a version. It is called with the balancer's
-	// lock held. Nil restricts none.
-	Restrict func(b *balancer.Balancer, info *balancer.PickInfo, now time.Time)
+	// Versions assigns attempts to versions of a service; nil if versions do not matter.
+	Versions Versions
+}
+
+// Versions assigns attempts to versions of a service and is notified of them.
+type Versions interface {
+	// Restrict restricts an attempt to upstreams of a version. It is called with the balancer's lock
+	// held.
+	Restrict(b *balancer.Balancer, info *balancer.PickInfo, now time.Time)
+	// Began is called when an attempt has been assigned to a member, Ended when it has ended.
+	Began(m balancer.Member)
+	Ended(m balancer.Member, o balancer.Outcome, now time.Time)
 }
 
 // Dispatcher dispatches calls to upstreams. It implements acceptor.Handler and is safe
@@ -283,6 +292,9 @@
 	if c == nil {
 		return nil, balancer.Member{}
 	}
+	if d.Versions != nil {
+		d.Versions.Began(c.Member)
+	}
 	return c, c.Member
 }
 
@@ -325,9 +337,9 @@
 	return d.Balancer.HasCapacity(info, now)
 }
 
-// restrict applies Restrict to an attempt. The caller holds the lock.
+// restrict restricts an attempt to upstreams of a version. The caller holds the lock.
 func (d *Dispatcher) restrict(info *balancer.PickInfo, now time.Time) {
-	if d.Restrict != nil {
-		d.Restrict(d.Balancer, info, now)
+	if d.Versions != nil {
+		d.Versions.Restrict(d.Balancer, info, now)
 	}
 }
--- a/internal/proxy/dispatcher/placement.go
+++ b/internal/proxy/dispatcher/placement.go
@@ -204,6 +204,9 @@
 	}
 	outcome.Bytes = len(p.call.Body) + len(r.Answer.Body)
 	p.d.recordOutcome(a.candidate, outcome)
+	if p.d.Versions != nil {
+		p.d.Versions.Ended(a.member, outcome, time.Now())
+	}
 	p.d.Observe.ObserveVersion(reply.Version, a.member.Address)
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/proxy/subscriber/store.go
+++ b/internal/proxy/subscriber/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"time"
 
 	"github.com/tamarackscale/tamarackscale/internal/kernel/pauser"
@@ -23,12 +24,17 @@
 		s.config.Observe.StoreRegained()
 	}
 	s.applyEvents(newest)
+	if err := s.readOrders(ctx); err != nil {
+		return err
+	}
+	defer s.endOrders()
 	for {
 		events, err := s.watch(ctx, s.knownPosition())
 		if err != nil {
 			return err
 		}
 		s.applyEvents(events)
+		s.passOrders(events)
 		if len(events.List) > 0 && !pauser.Pause(ctx, coalesceDelay) {
 			return ctx.Err()
 		}
@@ -43,7 +49,7 @@
 // the whole configuration when the store is back, their links would be saturated.
 func (s *Subscriber) catchUp(ctx context.Context) (keeper.Events, error) {
 	if position := s.knownPosition(); position.Revision > 0 {
-		return s.config.Store.Watch(ctx, s.config.Key, position, minWatchTimeout)
+		return s.config.Store.Watch(ctx, s.watchedPrefix(), position, minWatchTimeout)
 	}
 	item, position, err := s.config.Store.Read(ctx, s.config.Key)
 	var missing *keeper.NotFoundError
@@ -57,6 +63,50 @@
 	return keeper.Events{List: []keeper.Event{{Item: item}}, Position: position}, nil
 }
 
+// watchedPrefix returns the prefix of the watch.
+func (s *Subscriber) watchedPrefix() string {
+	if s.config.Orders.WatchPrefix != "" {
+		return s.config.Orders.WatchPrefix
+	}
+	return s.config.Key
+}
+
+// readOrders reads all orders. The node does so whenever it starts to watch: other nodes, which may
+// know nothing of orders, have confirmed its position meanwhile.
+func (s *Subscriber) readOrders(ctx context.Context) error {
+	if s.config.Orders.WatchPrefix == "" {
+		return nil
+	}
+	snapshot, err := s.config.Store.Range(ctx, s.config.Orders.Prefix, keeper.Linearizable)
+	if err == nil {
+		s.config.Orders.Reset(snapshot.Items)
+	}
+	return err
+}
+
+// passOrders passes the events of orders on.
+func (s *Subscriber) passOrders(events keeper.Events) {
+	if s.config.Orders.WatchPrefix == "" {
+		return
+	}
+	var orders []keeper.Event
+	for _, event := range events.List {
+		if strings.HasPrefix(event.Key, s.config.Orders.Prefix) {
+			orders = append(orders, event)
+		}
+	}
+	if len(orders) > 0 {
+		s.config.Orders.Changed(orders)
+	}
+}
+
+// endOrders states that the node does not watch any more.
+func (s *Subscriber) endOrders() {
+	if s.config.Orders.WatchPrefix != "" {
+		s.config.Orders.Ended()
+	}
+}
+
 // minWatchTimeout is the timeout of a watch that returns only existing events.
 const minWatchTimeout = time.Millisecond
 
@@ -94,7 +144,7 @@
 			cancel(errHinted)
 		}
 	}()
-	events, err := s.config.Store.Watch(ctx, s.config.Key, after, watchTimeout)
+	events, err := s.config.Store.Watch(ctx, s.watchedPrefix(), after, watchTimeout)
 	if err != nil && errors.Is(context.Cause(ctx), errHinted) {
 		return events, &keeper.HistoryLostError{After: after, Era: after.Era}
 	}
--- a/internal/proxy/subscriber/subscriber.go
+++ b/internal/proxy/subscriber/subscriber.go
@@ -136,6 +136,22 @@
 	// Request requests a newer configuration from another node.
 	Request func(ctx context.Context, address string, args forwarder.ConfigurationArgs) (forwarder.ConfigurationReply, error)
 	Observe Observer
+	// Orders receives what else the operator writes; the zero value receives nothing.
+	Orders Orders
+}
+
+// Orders are the items below a prefix, which the watch on the configuration covers too.
+type Orders struct {
+	// WatchPrefix is the prefix of the watch. It covers the configuration and Prefix; empty if there
+	// are no orders.
+	WatchPrefix string
+	// Prefix is the prefix of the orders.
+	Prefix string
+	// Reset is called with all orders when the node starts to watch the store, and Changed with
+	// those that have been written or deleted since. Ended is called when the node stops watching.
+	Reset   func(items []keeper.Item)
+	Changed func(events []keeper.Event)
+	Ended   func()
 }
 
 // Subscriber holds the configuration in force. It is safe for concurrent use.
--- a/standin/mesh/mesh.go
+++ b/standin/mesh/mesh.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/tamarackscale/tamarackscale/internal/input/decoder"
@@ -60,6 +61,8 @@
 	vmHost    *network.Host
 	// cancel ends the current proxy.
 	cancel context.CancelFunc
+	// removed is set by Remove.
+	removed atomic.Bool
 }
 
 // Buffer is a bytes.Buffer that is safe for concurrent use.
@@ -176,6 +179,16 @@
 	n.proxyHost = n.mesh.Network.Host(n.Name)
 }
 
+// Remove ends the VM with its proxy and upstream.
+func (n *Node) Remove() {
+	n.removed.Store(true)
+	n.Kill()
+	n.vmHost.Crash()
+}
+
+// Removed reports whether the VM has been removed.
+func (n *Node) Removed() bool { return n.removed.Load() }
+
 // Dialing returns how many connection attempts of the proxy are blocked on hosts that
 // are cut off.
 func (n *Node) Dialing() int64 { return n.proxyHost.Dialing() }
--- a/standin/metastore/http.go
+++ b/standin/metastore/http.go
@@ -157,7 +157,7 @@
 	defer s.mu.Unlock()
 	for _, e := range t.Expected {
 		if s.items[e.Key].Rev != e.Rev {
-			return http.StatusPreconditionFailed, map[string]any{"items": s.withPrefix(e.Key)}
+			return http.StatusPreconditionFailed, map[string]any{"items": s.present(t)}
 		}
 	}
 	for _, p := range t.Puts {
@@ -175,6 +175,17 @@
 	return http.StatusOK, map[string]int64{"rev": s.rev}
 }
 
+// present returns the items of the expected keys that exist. The caller holds the lock.
+func (s *Store) present(t transaction) []Item {
+	items := []Item{}
+	for _, e := range t.Expected {
+		if item, known := s.items[e.Key]; known {
+			items = append(items, item)
+		}
+	}
+	return items
+}
+
 func (s *Store) serveGrant(r *http.Request) (int, any) {
 	var body leaseBody
 	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
--- a/standin/metastore/metastore.go
+++ b/standin/metastore/metastore.go
@@ -229,3 +229,10 @@
 	}
 	return events, true
 }
+
+// Value returns the value of a key; nil if there is no such key.
+func (s *Store) Value(key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.items[key].Value
+}
