--- a/internal/proxy/dispatcher/placement.go
+++ b/internal/proxy/dispatcher/placement.go
@@ -255,6 +255,13 @@
 	if r.Outcome == carrier.NotRun && !r.Arrived {
 		p.d.returnCharge(a.charge)
 	}
+	if p.d.Versions != nil {
+		if outcome.Overtaken {
+			// A slow version would never show if its answers were only those that no hedge overtakes.
+			outcome.Elapsed = time.Since(a.began)
+		}
+		p.d.Versions.Ended(a.member, outcome, time.Now())
+	}
 	p.d.Observe.ObserveVersion(reply.Version, a.member.Address)
 	p.mu.Lock()
 	defer p.mu.Unlock()
