--- a/internal/proxy/balancer/balancer.go
+++ b/internal/proxy/balancer/balancer.go
@@ -51,8 +51,9 @@
 	// After that the lower mean applies, so that the upstream is tried again.
 	sampleTTL = 4 * time.Second
 	// maxOvertaken is the number of attempts in a row that later ones have overtaken after which
-	// an upstream without an answer in between counts as hanging. One or two may be slow calls.
-	maxOvertaken = 3
+	// an upstream without an answer in between counts as hanging. After one, it would also be
+	// taken for hanging while it is slow for a moment, which costs calls where there are few others.
+	maxOvertaken = 2
 	// fullTTL is how long an upstream counts as full after it shed a call.
 	fullTTL = 60 * time.Millisecond
 )
