dispatcher, reporter: hedges within the operator's limit of extra work

With hedging.extraWork an idempotent call is hedged as package hedger decides, within the retry budget as before; without it as before. Counters of hedges started, ended (won, lost, failed, and whether the other attempt was cancelled before its answer) and denied by reason; the same in the call's log line. TestLoserOfHedgeIsCancelledAtItsUpstream, TestHedgesStayWithinExtraWork.

--- a/internal/observe/reporter/reporter.go
+++ b/internal/observe/reporter/reporter.go
@@ -63,6 +63,7 @@
 	// recordedDrains counts by whether other nodes and the store have the drain.
 	recordedDrains *prometheus.CounterVec
 	storeCalls     *prometheus.CounterVec
+	hedges         hedgeMetrics
 	storeEra       prometheus.Gauge
 	version        prometheus.Gauge
 	unknownKinds   prometheus.Gauge
@@ -115,6 +116,7 @@
 		r.callTime, r.upstreamTime, r.queueTime, r.endedCalls, r.attempts, r.unanswered, r.storeCalls, r.storeEra, r.version, r.unknownKinds, r.rejected,
 		r.upstreamLimit, r.recordedDrains, r.unusableEntries,
 	)
+	r.hedges = newHedgeMetrics(r.registry)
 	return r
 }
 
@@ -165,11 +167,16 @@
 		r.queueTime.WithLabelValues(e.Service).Observe((a.Took - a.UpstreamTime).Seconds())
 		r.attempts.WithLabelValues(e.Service, a.Outcome.String(), string(a.Reason)).Inc()
 	}
+	r.hedges.record(e)
 	routine := e.Result.Outcome == carrier.Run && e.Status < http.StatusInternalServerError && len(e.Attempts) == 1
 	if routine || !r.allow(r.callLimiter, callsSuppressedEvent, string(e.Result.Reason)) {
 		return
 	}
-	r.log.WithFields(logrus.Fields{
+	line := r.log
+	if hedge, found := recordOfHedge(e.Hedge); found {
+		line = line.WithField("hedge", hedge)
+	}
+	line.WithFields(logrus.Fields{
 		"event": "callEnded", "request": e.Call.ID, "route": e.Route, "service": e.Service, "rank": e.Rank,
 		"nested": e.Nested, "version": e.Version, "outcome": e.Result.Outcome.String(),
 		"reason": string(e.Result.Reason), "status": e.Status, "pauseMs": e.RetryAfter.Milliseconds(),
@@ -194,6 +201,7 @@
 type attemptRecord struct {
 	Node     string `json:"node"`
 	Instance string `json:"instance"`
+	Hedge    bool   `json:"hedge,omitempty"`
 	Outcome  string `json:"outcome"`
 	Reason   string `json:"reason,omitempty"`
 	Status   int    `json:"status,omitempty"`
@@ -210,7 +218,7 @@
 	records := make([]attemptRecord, 0, len(attempts))
 	for _, a := range attempts {
 		records = append(records, attemptRecord{
-			Node: a.Node, Instance: a.Instance, Outcome: a.Outcome.String(), Reason: string(a.Reason), Status: a.Status,
+			Node: a.Node, Instance: a.Instance, Hedge: a.Hedge, Outcome: a.Outcome.String(), Reason: string(a.Reason), Status: a.Status,
 			TookMs: a.Took.Milliseconds(), UpstreamMs: a.UpstreamTime.Milliseconds(),
 			InUse: a.Load.InUse, Slots: a.Load.Slots, Waiting: a.Load.Waiting,
 		})
--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -121,7 +121,7 @@
 		Node: s.Node.ID, Service: func() string { return p.settings.Load().Upstream.Service },
 		Table: p.subscriber.Table, Forward: p.forwarder, Execute: p.executor, Observe: p.telemetry,
 		Balancer: balancer.New(s.Node.AvailabilityZone), End: p.callsEnd,
-		Budget: budgetOf(p.bounds),
+		Budget: budgetOf(p.bounds), ExtraWork: extraWork(s),
 	})
 	p.acceptor = acceptor.New(platform.HTTP{}, p.dispatcher, p.telemetry)
 	p.telemetry.OnVersion(p.subscriber.Hint)
@@ -132,6 +132,14 @@
 	return p, nil
 }
 
+// extraWork returns the limit of hedges; nil if the settings name none.
+func extraWork(s *reader.Settings) *float64 {
+	if s.Hedging == nil {
+		return nil
+	}
+	return &s.Hedging.ExtraWork
+}
+
 // budgetOf returns the retry budget that the bounds name.
 func budgetOf(b reader.Bounds) retrier.Budget {
 	return retrier.Budget{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow.Std()}
--- a/internal/proxy/assembler/hedge_test.go
+++ b/internal/proxy/assembler/hedge_test.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/tamarackscale/tamarackscale/internal/settings/reader"
 	"github.com/tamarackscale/tamarackscale/standin/mesh"
 )
 
@@ -81,3 +83,64 @@
 		So(arrivals, ShouldBeLessThanOrEqualTo, 70+14+56/4)
 	})
 }
+
+// metricsOf returns the metrics of a node as text.
+func metricsOf(n *mesh.Node) string {
+	recorder := httptest.NewRecorder()
+	n.Proxy.Reporter().Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	return recorder.Body.String()
+}
+
+// Guards against a loser that goes on running at its upstream, where it holds a slot, and against
+// hedges that operators can't see.
+func TestLoserOfHedgeIsCancelledAtItsUpstream(t *testing.T) {
+	inHedgingMesh(t, []string{"x", "y"}, &reader.Hedging{ExtraWork: 0.05}, func(m *mesh.Mesh) {
+		near, first, second := nodesOf(m, "b")[0], nodesOf(m, "a")[0], nodesOf(m, "a")[1]
+		for _, n := range m.Nodes {
+			n.Upstream.SetBehaviour(20*time.Millisecond, nil)
+		}
+		for range 10 {
+			primeEstimates(near, http.MethodGet, readPrefix)
+		}
+		before := second.Upstream.Total()
+		first.Upstream.SetBehaviour(2*time.Second, nil)
+		start := time.Now()
+		a := near.Call(http.MethodGet, host, readPrefix, "hedged", 4*time.Second)
+		So(a.Status, ShouldEqual, http.StatusOK)
+		So(a.Header.Get("X-Request-Id"), ShouldEqual, "hedged")
+		So(a.Body, ShouldStartWith, second.Upstream.Instance)
+		So(time.Since(start), ShouldBeLessThan, 200*time.Millisecond)
+		So(second.Upstream.Total(), ShouldEqual, before+1)
+		time.Sleep(100 * time.Millisecond)
+		So(first.Upstream.Cancelled(), ShouldEqual, 1)
+		So(first.Proxy.Load().InUse, ShouldEqual, 0)
+		So(metricsOf(near), ShouldContainSubstring, `tamarackscale_hedges_started_total{service="a"} 1`)
+		So(metricsOf(near), ShouldContainSubstring, `tamarackscale_hedges_ended_total{cancelled="true",result="won",service="a"} 1`)
+		So(near.Log.String(), ShouldContainSubstring, `"result":"won"`)
+	})
+}
+
+// Guards against more additional work than the operator allows, while all upstreams are slow.
+func TestHedgesStayWithinExtraWork(t *testing.T) {
+	inHedgingMesh(t, []string{"x", "y"}, &reader.Hedging{ExtraWork: 0.02}, func(m *mesh.Mesh) {
+		near := nodesOf(m, "b")[0]
+		for _, n := range m.Nodes {
+			n.Upstream.SetBehaviour(5*time.Millisecond, nil)
+		}
+		const rounds = 20
+		for range rounds {
+			primeEstimates(near, http.MethodGet, readPrefix)
+		}
+		for _, n := range nodesOf(m, "a") {
+			n.Upstream.SetBehaviour(100*time.Millisecond, nil)
+		}
+		for range rounds {
+			primeEstimates(near, http.MethodGet, readPrefix)
+		}
+		arrivals := nodesOf(m, "a")[0].Upstream.Total() + nodesOf(m, "a")[1].Upstream.Total()
+		calls := 2 * rounds * 10
+		So(arrivals, ShouldBeGreaterThan, calls)
+		So(arrivals, ShouldBeLessThanOrEqualTo, calls+calls/50)
+		So(metricsOf(near), ShouldContainSubstring, `tamarackscale_hedges_denied_total{reason="extraWork",service="a"}`)
+	})
+}
--- a/internal/proxy/assembler/mesh_test.go
+++ b/internal/proxy/assembler/mesh_test.go
@@ -11,6 +11,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/tamarackscale/tamarackscale/internal/settings/reader"
 	"github.com/tamarackscale/tamarackscale/standin/mesh"
 )
 
@@ -83,12 +84,18 @@
 // service "b" for each entry of zones. In the tests, near is the node that gets a call from
 // its caller, and far a node whose upstream runs it.
 func inMesh(t *testing.T, zones []string, run func(m *mesh.Mesh)) {
+	inHedgingMesh(t, zones, nil, run)
+}
+
+// inHedgingMesh does the same with a limit of the extra work of hedges; nil if there is none.
+func inHedgingMesh(t *testing.T, zones []string, hedging *reader.Hedging, run func(m *mesh.Mesh)) {
 	log.SetOutput(io.Discard)
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		Convey("a mesh", t, func() {
 			m, err := mesh.New(ctx)
 			So(err, ShouldBeNil)
+			m.Hedging = hedging
 			defer func() {
 				cancel()
 				m.Close()
--- a/internal/proxy/dispatcher/dispatcher.go
+++ b/internal/proxy/dispatcher/dispatcher.go
@@ -16,6 +16,7 @@
 	"github.com/tamarackscale/tamarackscale/internal/proxy/executor"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/forwarder"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/gater"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/hedger"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/recognizer"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/retrier"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/router"
@@ -71,7 +72,9 @@
 	Version int64
 	// Attempts is in the order in which the attempts ended.
 	Attempts []Attempt
-	Result   carrier.Result
+	// Hedge describes the hedge, if there was to be one.
+	Hedge  Hedge
+	Result carrier.Result
 	// Status is the status of the response, and RetryAfter the time after which the
 	// caller may send the call again; 0 if the response states none.
 	Status     int
@@ -87,8 +90,10 @@
 type Attempt struct {
 	Node     string
 	Instance string
-	Outcome  carrier.Outcome
-	Reason   carrier.Reason
+	// Hedge reports whether the attempt was a hedge.
+	Hedge   bool
+	Outcome carrier.Outcome
+	Reason  carrier.Reason
 	// Status is the status of the answer; 0 if there is none.
 	Status int
 	// Took is the duration of the attempt, and Service the time of it that was spent at
@@ -112,6 +117,9 @@
 	Observe  Observer
 	Balancer *balancer.Balancer
 	Budget   retrier.Budget
+	// ExtraWork limits hedges to a share of the calls to a service; nil if only the retry budget
+	// limits them.
+	ExtraWork *float64
 	// End returns the time by which calls must have ended; zero if there is none. Nil
 	// means that there never is.
 	End func() time.Time
@@ -123,17 +131,23 @@
 	Config
 
 	// mu guards the balancer as well as the fields below.
-	mu         sync.Mutex
-	gate       *gater.Gate
-	retrier    *retrier.Retrier
+	mu      sync.Mutex
+	gate    *gater.Gate
+	retrier *retrier.Retrier
+	// hedger is nil without ExtraWork.
+	hedger     *hedger.Hedger
 	recognizer *recognizer.Recognizer
 }
 
 // New returns a Dispatcher.
 func New(config Config) *Dispatcher {
-	return &Dispatcher{
+	d := &Dispatcher{
 		Config: config, gate: gater.New(), retrier: retrier.New(config.Budget), recognizer: recognizer.New(),
 	}
+	if config.ExtraWork != nil {
+		d.hedger = hedger.New(*config.ExtraWork)
+	}
+	return d
 }
 
 // defaultLimits applies until a configuration is in force.
@@ -266,34 +280,27 @@
 	}
 }
 
-// choose picks the node for the next attempt, and returns nil if there is none. A retry must
+// choose picks the node for the next attempt, and reports whether there is one. A retry must
 // fit the retry budget of the service, and counts against it if there is a node for it.
-func (d *Dispatcher) choose(info balancer.PickInfo, retry bool) (*balancer.Candidate, balancer.Member, retrier.Charge) {
+func (d *Dispatcher) choose(info balancer.PickInfo, retry bool) (pendingAttempt, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	var charge retrier.Charge
+	var a pendingAttempt
 	if retry {
 		allowed := d.Balancer.Available(info, now)
 		if allowed {
-			charge, allowed = d.retrier.Take(info.Service, d.Balancer.Size(), now)
+			a.cost.retry, allowed = d.retrier.Take(info.Service, d.Balancer.Size(), now)
 		}
 		if !allowed {
-			return nil, balancer.Member{}, retrier.Charge{}
+			return pendingAttempt{}, false
 		}
 	}
-	c := d.Balancer.Pick(info, now)
-	if c == nil {
-		return nil, balancer.Member{}, retrier.Charge{}
+	if a.candidate = d.Balancer.Pick(info, now); a.candidate == nil {
+		return pendingAttempt{}, false
 	}
-	return c, c.Member, charge
-}
-
-// returnCharge returns the charge for a retry that reached no upstream to the budget.
-func (d *Dispatcher) returnCharge(c retrier.Charge) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.retrier.Return(c, time.Now())
+	a.member = a.candidate.Member
+	return a, true
 }
 
 // recordOutcome passes the outcome of an attempt to the balancer.
@@ -306,7 +313,11 @@
 func (d *Dispatcher) countCall(service string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.retrier.RecordCall(service, time.Now())
+	now := time.Now()
+	d.retrier.RecordCall(service, now)
+	if d.hedger != nil {
+		d.hedger.RecordCall(service, now)
+	}
 }
 
 // WithBalancer calls f with the balancer while holding its lock.
@@ -324,11 +335,3 @@
 	defer d.mu.Unlock()
 	return d.Balancer.MeanServiceTime(service, kind)
 }
-
-// hasCapacity reports whether the upstream that the call would go to next has capacity
-// for a hedge and is likely to answer before the deadline.
-func (d *Dispatcher) hasCapacity(info balancer.PickInfo) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.Balancer.HasCapacity(info, time.Now())
-}
--- a/internal/proxy/dispatcher/dispatcher_test.go
+++ b/internal/proxy/dispatcher/dispatcher_test.go
@@ -137,12 +137,12 @@
 		})
 		info := balancer.PickInfo{Service: "s", Kind: "k", Objective: time.Second, Remaining: time.Second}
 		for range 10 {
-			none, _, _ := d.choose(info, true)
-			So(none, ShouldBeNil)
+			_, found := d.choose(info, true)
+			So(found, ShouldBeFalse)
 		}
 		d.Balancer.Update(balancer.Member{Node: "n", Start: 1, Sequence: 1, Zone: "x", Service: "s", Instance: "i", Slots: 4})
-		c, _, _ := d.choose(info, true)
-		So(c, ShouldNotBeNil)
+		_, found := d.choose(info, true)
+		So(found, ShouldBeTrue)
 	})
 }
 
@@ -191,8 +191,9 @@
 			timeout: time.Minute, event: &Event{},
 		}
 		record := func(began time.Time, reply forwarder.RunReply) {
-			c, m, _ := d.choose(balancer.PickInfo{Service: "s", Kind: "k"}, false)
-			p.recordOutcome(context.Background(), pendingAttempt{candidate: c, member: m, began: began}, reply)
+			a, _ := d.choose(balancer.PickInfo{Service: "s", Kind: "k"}, false)
+			a.began = began
+			p.recordOutcome(context.Background(), a, reply)
 		}
 		answer := carrier.Result{Outcome: carrier.Run, Answer: carrier.Answer{Status: http.StatusOK}, Arrived: true}
 		record(time.Now(), forwarder.RunReply{Result: answer, UpstreamTime: 20 * time.Millisecond})
@@ -201,7 +202,7 @@
 		}
 		mean, _ := d.meanServiceTime("s", "k")
 		So(mean, ShouldEqual, 20*time.Millisecond)
-		So(d.hasCapacity(balancer.PickInfo{Service: "s", Kind: "k", Remaining: time.Second}), ShouldBeTrue)
+		So(d.Balancer.HasCapacity(balancer.PickInfo{Service: "s", Kind: "k", Remaining: time.Second}, time.Now()), ShouldBeTrue)
 	})
 }
 
--- a/internal/proxy/dispatcher/placement.go
+++ b/internal/proxy/dispatcher/placement.go
@@ -11,7 +11,6 @@
 	"github.com/tamarackscale/tamarackscale/internal/proxy/executor"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/forwarder"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/queuer"
-	"github.com/tamarackscale/tamarackscale/internal/proxy/retrier"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/router"
 )
 
@@ -52,8 +51,10 @@
 	candidate *balancer.Candidate
 	member    balancer.Member
 	began     time.Time
-	// charge is that of a retry; the zero value for the first attempt.
-	charge retrier.Charge
+	// hedge reports whether the attempt is a hedge, and cost is what a retry or hedge has taken
+	// from the budgets.
+	hedge bool
+	cost  cost
 	// last means that no further upstream may receive the call if this one does.
 	last bool
 }
@@ -200,14 +201,20 @@
 	if len(p.tried) >= maxNodes {
 		return pendingAttempt{}, false
 	}
-	candidate, member, charge := p.d.choose(p.pickInfo(), p.delivered+p.inFlight > 0)
-	if candidate == nil {
+	a, found := p.d.choose(p.pickInfo(), p.delivered+p.inFlight > 0)
+	if !found {
 		return pendingAttempt{}, false
 	}
-	p.tried = append(p.tried, member.Node)
+	return p.begin(a), true
+}
+
+// begin begins an attempt at the upstream that was chosen for it. The caller must hold p.mu.
+func (p *placement) begin(a pendingAttempt) pendingAttempt {
+	p.tried = append(p.tried, a.member.Node)
 	p.inFlight++
-	last := !p.match.Idempotent || p.delivered+p.inFlight >= p.match.MaxAttempts
-	return pendingAttempt{candidate: candidate, member: member, began: time.Now(), charge: charge, last: last}, true
+	a.began = time.Now()
+	a.last = !p.match.Idempotent || p.delivered+p.inFlight >= p.match.MaxAttempts
+	return a
 }
 
 // run makes the attempt and records its outcome.
@@ -250,8 +257,9 @@
 	}
 	outcome.Bytes = len(p.call.Body) + len(r.Answer.Body)
 	p.d.recordOutcome(a.candidate, outcome)
+	p.recordDuration(a, outcome)
 	if r.Outcome == carrier.NotRun && !r.Arrived {
-		p.d.returnCharge(a.charge)
+		p.d.returnCost(a.cost)
 	}
 	p.d.Observe.ObserveVersion(reply.Version, a.member.Address)
 	p.mu.Lock()
@@ -262,7 +270,7 @@
 		p.delivered++
 	}
 	p.event.Attempts = append(p.event.Attempts, Attempt{
-		Node: a.member.Node, Instance: a.member.Instance, Outcome: r.Outcome, Reason: r.Reason,
+		Node: a.member.Node, Instance: a.member.Instance, Hedge: a.hedge, Outcome: r.Outcome, Reason: r.Reason,
 		Status: r.Answer.Status, Took: time.Since(a.began), UpstreamTime: reply.UpstreamTime,
 		Load: reply.Load,
 	})
--- a/standin/mesh/mesh.go
+++ b/standin/mesh/mesh.go
@@ -33,6 +33,8 @@
 	Network *network.Network
 	Store   *metastore.Store
 	Nodes   []*Node
+	// Hedging is the setting of the nodes that are added later; nil if it is absent.
+	Hedging *reader.Hedging
 	// ctx ends the store, the upstreams and the proxies.
 	ctx context.Context
 }
@@ -130,6 +132,7 @@
 			DrainTime: decoder.Duration(2 * time.Second), Grace: decoder.Duration(6 * time.Second),
 			RetryRatio: 0.2, RetrySlack: 56, RetryWindow: decoder.Duration(10 * time.Second),
 		},
+		Hedging: n.mesh.Hedging,
 	}
 }
 
