balancer: overtaken attempts count as unanswered

When a hedge answers, the attempt at the first upstream is cancelled and its slot is free. An upstream that hangs then seemed idle and attracted the calls that can't be hedged.

--- a/internal/proxy/balancer/balancer.go
+++ b/internal/proxy/balancer/balancer.go
@@ -70,8 +70,9 @@
 	loadAt        time.Time
 	serviceTimes  map[string]serviceTime
 	// overtaken is the number of attempts since the last answer that a later attempt at another
-	// upstream has overtaken.
-	overtaken int
+	// upstream has overtaken, the last of them at overtakenAt.
+	overtaken   int
+	overtakenAt time.Time
 	// ejections is the number of ejections since the last answer.
 	ejections     int
 	failureRate   float64
@@ -306,6 +307,7 @@
 	case o.Unreachable:
 		c.eject(now)
 	case o.Overtaken:
+		c.overtakenAt = now
 		if c.overtaken++; c.overtaken%maxOvertaken == 0 {
 			c.eject(now)
 		}
@@ -395,7 +397,7 @@
 	if c == nil || now.Before(c.ejectedUntil) || c.full(info.Class, now) || c.Draining || c.load.Draining {
 		return false
 	}
-	busy := max(c.inFlight, c.load.InUse+c.load.Waiting)
+	busy := max(c.unanswered(now), c.load.InUse+c.load.Waiting)
 	return float64(busy) < maxUtilisation*float64(c.Slots) && b.expectedTime(c, info, now) < info.Remaining
 }
 
--- a/internal/proxy/balancer/balancer_test.go
+++ b/internal/proxy/balancer/balancer_test.go
@@ -330,3 +330,29 @@
 		})
 	})
 }
+
+// Guards against an upstream that hangs and seems idle, since its calls are cancelled when their hedges
+// answer: calls that can't be hedged would go there.
+func TestOvertakenAttemptsCountAsUnanswered(t *testing.T) {
+	Convey("After an overtaken attempt the other upstream is preferred, until the first one answers", t, func() {
+		b, now := New("x"), time.Unix(1000, 0)
+		for _, node := range []string{"a", "b"} {
+			b.Update(Member{Node: node, Start: 1, Sequence: 1, Zone: "x", Service: "s", Instance: node, Slots: 4})
+		}
+		info := PickInfo{Service: "s", Kind: "k", Objective: time.Second, Remaining: time.Second}
+		pick := func() *Candidate {
+			c := b.Pick(info, now)
+			c.inFlight--
+			return c
+		}
+		first := b.Pick(info, now)
+		b.Done(first, Outcome{Kind: "k", Overtaken: true}, now)
+		for range 5 {
+			So(pick(), ShouldNotEqual, first)
+		}
+		So(first.unanswered(now.Add(sampleTTL)), ShouldEqual, 0)
+		first.inFlight++
+		b.Done(first, Outcome{Kind: "k", Answered: true, UpstreamTime: time.Millisecond}, now)
+		So(pick(), ShouldEqual, first)
+	})
+}
--- a/internal/proxy/balancer/estimate.go
+++ b/internal/proxy/balancer/estimate.go
@@ -132,7 +132,7 @@
 	if age := now.Sub(c.loadAt); age > loadFreshTime {
 		weight = float64(loadFreshTime) / float64(age)
 	}
-	busy := max(float64(c.inFlight), weight*float64(c.load.InUse+c.load.Waiting))
+	busy := max(float64(c.unanswered(now)), weight*float64(c.load.InUse+c.load.Waiting))
 	received := weight * float64(c.load.Waits[class])
 	if busy < slots {
 		// Upstreams slow down when nearly all of their slots are in use. One that limits the
--- a/internal/proxy/balancer/hedge.go
+++ b/internal/proxy/balancer/hedge.go
@@ -97,3 +97,13 @@
 
 // fullUtilisation is the utilisation of a service all of whose slots are in use, in thousandths.
 const fullUtilisation = 1000
+
+// unanswered returns the number of attempts in flight, and of those that were overtaken since the last
+// answer. Their slots are free, but an upstream that hangs would otherwise seem idle and attract the
+// calls that can't be hedged.
+func (c *Candidate) unanswered(now time.Time) int {
+	if now.Sub(c.overtakenAt) >= sampleTTL {
+		return c.inFlight
+	}
+	return c.inFlight + c.overtaken
+}
