--- a/internal/observe/reporter/hedges.go
+++ b/internal/observe/reporter/hedges.go
@@ -31,6 +31,9 @@
 
 // record counts the hedge of a call that has ended.
 func (m hedgeMetrics) record(e dispatcher.Event) {
+	if e.Hedge == nil {
+		return
+	}
 	if e.Hedge.Denied != "" {
 		m.denied.WithLabelValues(e.Service, string(e.Hedge.Denied)).Inc()
 	}
@@ -48,10 +51,9 @@
 	Cancelled bool   `json:"cancelled"`
 }
 
-// recordOfHedge returns the record of a hedge, and whether there was to be one.
-func recordOfHedge(h dispatcher.Hedge) (hedgeRecord, bool) {
-	record := hedgeRecord{
+// recordOfHedge returns the record of a hedge.
+func recordOfHedge(h *dispatcher.Hedge) hedgeRecord {
+	return hedgeRecord{
 		AfterMs: h.After.Milliseconds(), Denied: string(h.Denied), Result: string(h.Result), Cancelled: h.Cancelled,
 	}
-	return record, h.After > 0
 }
--- a/internal/observe/reporter/reporter.go
+++ b/internal/observe/reporter/reporter.go
@@ -173,8 +173,8 @@
 		return
 	}
 	line := r.log
-	if hedge, found := recordOfHedge(e.Hedge); found {
-		line = line.WithField("hedge", hedge)
+	if e.Hedge != nil {
+		line = line.WithField("hedge", recordOfHedge(e.Hedge))
 	}
 	line.WithFields(logrus.Fields{
 		"event": "callEnded", "request": e.Call.ID, "route": e.Route, "service": e.Service, "rank": e.Rank,
--- a/internal/proxy/dispatcher/dispatcher.go
+++ b/internal/proxy/dispatcher/dispatcher.go
@@ -72,8 +72,8 @@
 	Version int64
 	// Attempts is in the order in which the attempts ended.
 	Attempts []Attempt
-	// Hedge describes the hedge, if there was to be one.
-	Hedge  Hedge
+	// Hedge describes the hedge; nil if there was to be none.
+	Hedge  *Hedge
 	Result carrier.Result
 	// Status is the status of the response, and RetryAfter the time after which the
 	// caller may send the call again; 0 if the response states none.
--- a/internal/proxy/dispatcher/hedge.go
+++ b/internal/proxy/dispatcher/hedge.go
@@ -40,7 +40,7 @@
 
 // Hedge describes the hedge of a call that has ended.
 type Hedge struct {
-	// After is the delay after which the call was to be hedged; 0 if it ended before.
+	// After is the delay after which the call was to be hedged.
 	After time.Duration
 	// Denied is why it was not hedged then.
 	Denied hedger.Denial
@@ -106,7 +106,7 @@
 		cancelSecond()
 	}
 	<-done
-	p.event.Hedge = Hedge{After: delay, Denied: denied}
+	p.event.Hedge = &Hedge{After: delay, Denied: denied}
 	if denied != "" {
 		return first
 	}
--- a/internal/proxy/hedger/hedger_test.go
+++ b/internal/proxy/hedger/hedger_test.go
@@ -43,14 +43,14 @@
 func TestHedgesEndBeforeCapacityDoes(t *testing.T) {
 	Convey("The price rises with the utilisation, until there is no hedge", t, func() {
 		now := time.Unix(1000, 0)
-		previous := 1000
+		previous, atFade := 1000, 0
 		for utilisation := 0; utilisation <= 1200; utilisation += 50 {
 			h := New(0.1)
 			for range 1000 {
 				h.RecordCall("s", now)
 			}
 			granted := 0
-			for {
+			for granted <= previous {
 				if _, denied := h.Take("s", utilisation, now); denied != "" {
 					break
 				}
@@ -59,7 +59,17 @@
 			So(granted, ShouldBeLessThanOrEqualTo, previous)
 			So(granted == 0, ShouldEqual, utilisation >= maxUtilisation)
 			previous = granted
+			if utilisation == fadeUtilisation {
+				atFade = granted
+			}
+		}
+		h := New(0.1)
+		for range 1000 {
+			h.RecordCall("s", now)
 		}
+		charge, _ := h.Take("s", maxUtilisation-50, now)
+		So(charge.price, ShouldBeGreaterThan, 2*million)
+		So(atFade, ShouldEqual, 100)
 	})
 	Convey("A hedge that reached no upstream costs nothing", t, func() {
 		h, now := New(1), time.Unix(1000, 0)
