explainer, commander: where a request would go now and why

tamarackscale explain asks a node, over its metrics listener, what it would do with a request. The node answers from its own decisions without sending anything: Table.Peek looks a route up without moving its split, Balancer.Explain lists the candidates that Pick compares. Table and JSON, exit code 7 for a refusal. TestExplanationIsWhatHappens compares explanations with what then happens on standin/mesh: usual, no route, no upstream, split, slow and draining upstreams.

--- a/internal/operator/commander/commander.go
+++ b/internal/operator/commander/commander.go
@@ -39,6 +39,8 @@
 	ExitAborted = 5
 	// ExitTimeout means that the command timed out waiting; the rollout continues.
 	ExitTimeout = 6
+	// ExitRefused means that the node would refuse the request.
+	ExitRefused = 7
 )
 
 // Globals holds the flags that every command accepts.
@@ -56,6 +58,7 @@
 	Bundle   bundleCommands   `cmd:"" help:"Check, create, sign and compare versions."`
 	Rollout  rolloutCommands  `cmd:"" help:"Roll versions out and follow them."`
 	Node     nodeCommands     `cmd:"" help:"Look at nodes."`
+	Explain  explainCommand   `cmd:"" help:"Show where a node would send a request now and why, without sending it."`
 	Key      keyCommands      `cmd:"" help:"Make operators' keys."`
 	Settings settingsCommands `cmd:"" help:"Check settings of nodes."`
 	Console  consoleCommand   `cmd:"" help:"Serve the operators' HTTP interface."`
@@ -154,6 +157,9 @@
 	if hasType[*follower.TimeoutError](err) {
 		return ExitTimeout
 	}
+	if hasType[*RefusedError](err) {
+		return ExitRefused
+	}
 	return ExitFailure
 }
 
--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -211,7 +211,7 @@
 		if err != nil {
 			return err
 		}
-		p.serveHTTP(metrics, p.telemetry.Handler())
+		p.serveHTTP(metrics, p.metricsHandler())
 	}
 	go p.subscriber.Run(ctx)
 	go p.finder.Run(ctx)
--- a/internal/proxy/router/router.go
+++ b/internal/proxy/router/router.go
@@ -164,14 +164,7 @@
 // lookup counts as a call that is split among the route's backends, unless the call was split
 // before to the given service and that is still one of them.
 func (t *Table) Lookup(host, target, before string) (Match, bool) {
-	path := target
-	if end := strings.IndexAny(path, "?#"); end >= 0 {
-		path = path[:end]
-	}
-	for _, e := range t.hosts[hostName(host)] {
-		if !strings.HasPrefix(path, e.route.Prefix) {
-			continue
-		}
+	if e := t.match(host, target); e != nil {
 		return Match{Route: e.route, Service: e.next(before)}, true
 	}
 	return Match{}, false
--- a/standin/mesh/mesh.go
+++ b/standin/mesh/mesh.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -17,6 +18,7 @@
 
 	"github.com/tamarackscale/tamarackscale/internal/input/decoder"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/assembler"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/explainer"
 	"github.com/tamarackscale/tamarackscale/internal/settings/reader"
 	"github.com/tamarackscale/tamarackscale/standin/metastore"
 	"github.com/tamarackscale/tamarackscale/standin/network"
@@ -124,7 +126,7 @@
 	return &reader.Settings{
 		Node: reader.Node{ID: n.Name, IP: fmt.Sprintf("10.0.0.%d", n.index), AvailabilityZone: n.Zone},
 		Listen: reader.Listen{
-			Callers: n.address(8001), Readiness: n.address(8002), Control: n.address(8003), Ports: []int{7000, 7015},
+			Callers: n.address(8001), Readiness: n.address(8002), Control: n.address(8003), Metrics: n.address(9464), Ports: []int{7000, 7015},
 		},
 		Platform: reader.Platform{Address: storeAddress},
 		Upstream: reader.Upstream{Service: service, Address: n.UpstreamAddress()},
@@ -229,6 +231,17 @@
 	return response.StatusCode == http.StatusOK
 }
 
+// Explain asks the proxy what it would do with a request now, over its metrics listener.
+func (n *Node) Explain(q explainer.Question) (explainer.Explanation, error) {
+	var e explainer.Explanation
+	response, err := n.client().Get("http://" + n.settings.Listen.Metrics + explainer.Path + "?" + q.Values().Encode())
+	if err != nil {
+		return e, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	return e, json.NewDecoder(response.Body).Decode(&e)
+}
+
 // Response is the response that a caller received.
 type Response struct {
 	Status int
--- a/tools/hedges/main.go
+++ b/tools/hedges/main.go
@@ -12,10 +12,11 @@
 )
 
 type options struct {
-	Seeds uint64    `default:"6" help:"Number of seeded loads of which the results are added."`
-	Fault string    `help:"Replay only this fault."`
-	Loads []float64 `default:"0.5,0.8,1.0,1.3" help:"Offered work as fractions of the capacity."`
-	Jobs  int       `default:"2" help:"Replays that run at once."`
+	Seeds  uint64    `default:"6" help:"Number of seeded loads of which the results are added."`
+	Fault  string    `help:"Replay only this fault."`
+	Policy string    `help:"Replay only this policy."`
+	Loads  []float64 `default:"0.5,0.8,1.0,1.3" help:"Offered work as fractions of the capacity."`
+	Jobs   int       `default:"2" help:"Replays that run at once."`
 }
 
 func main() {
@@ -28,6 +29,9 @@
 				continue
 			}
 			for _, policy := range replayer.Policies {
+				if o.Policy != "" && o.Policy != policy.Name {
+					continue
+				}
 				scenarios = append(scenarios, replayer.Scenario{Fault: fault, Policy: policy, Load: load})
 			}
 		}
