--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -134,7 +134,7 @@
 		Node: s.Node.ID, Service: func() string { return p.settings.Load().Upstream.Service },
 		Table: p.subscriber.Table, Forward: p.forwarder, Execute: p.executor, Observe: p.telemetry, Identities: platform.HTTP{},
 		Balancer: balancer.New(s.Node.AvailabilityZone), End: p.callsEnd,
-		Budget: budgetOf(p.bounds),
+		Budget: budgetOf(p.bounds), ExtraWork: extraWork(s),
 	})
 	if p.rollouts != nil {
 		p.dispatcher.Versions = p.rollouts.assigner
@@ -148,6 +148,14 @@
 	return p, nil
 }
 
+// extraWork returns the limit of hedges; nil if the settings name none.
+func extraWork(s *reader.Settings) *float64 {
+	if s.Hedging == nil {
+		return nil
+	}
+	return &s.Hedging.ExtraWork
+}
+
 // budgetOf returns the retry budget that the bounds name.
 func budgetOf(b reader.Bounds) retrier.Budget {
 	return retrier.Budget{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow.Std()}
@@ -220,7 +228,7 @@
 		if err != nil {
 			return err
 		}
-		p.serveHTTP(metrics, p.telemetry.Handler())
+		p.serveHTTP(metrics, p.metricsHandler())
 	}
 	if p.rollouts != nil {
 		go p.rollouts.controller.Run(ctx)
--- a/internal/proxy/assembler/mesh_test.go
+++ b/internal/proxy/assembler/mesh_test.go
@@ -103,18 +103,28 @@
 // service "b" for each entry of zones. In the tests, near is the node that gets a call from
 // its caller, and far a node whose upstream runs it.
 func inMesh(t *testing.T, zones []string, run func(m *mesh.Mesh)) {
-	inMeshWith(t, nil, zones, run)
+	inConfiguredMesh(t, zones, func(*mesh.Mesh) {}, run)
 }
 
 // inMeshWith is inMesh with rollouts switched on if the section of the settings is not nil.
 func inMeshWith(t *testing.T, rollouts *reader.Rollouts, zones []string, run func(m *mesh.Mesh)) {
+	inConfiguredMesh(t, zones, func(m *mesh.Mesh) { m.Rollouts = rollouts }, run)
+}
+
+// inHedgingMesh is inMesh with a limit of the extra work of hedges; nil if there is none.
+func inHedgingMesh(t *testing.T, zones []string, hedging *reader.Hedging, run func(m *mesh.Mesh)) {
+	inConfiguredMesh(t, zones, func(m *mesh.Mesh) { m.Hedging = hedging }, run)
+}
+
+// inConfiguredMesh is inMesh with settings that adapt changes before the first node is added.
+func inConfiguredMesh(t *testing.T, zones []string, adapt, run func(m *mesh.Mesh)) {
 	log.SetOutput(io.Discard)
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		Convey("a mesh", t, func() {
 			m, err := mesh.New(ctx)
 			So(err, ShouldBeNil)
-			m.Rollouts = rollouts
+			adapt(m)
 			defer func() {
 				cancel()
 				m.Close()
--- a/internal/proxy/router/router.go
+++ b/internal/proxy/router/router.go
@@ -199,21 +199,6 @@
 	return nil
 }
 
-// match returns the entry of the route of a call; nil if there is none.
-func (t *Table) match(host, target string) *entry {
-	path := target
-	if end := strings.IndexAny(path, "?#"); end >= 0 {
-		path = path[:end]
-	}
-	for _, e := range t.hosts[hostName(host)] {
-		if !strings.HasPrefix(path, e.route.Prefix) {
-			continue
-		}
-		return e
-	}
-	return nil
-}
-
 // next returns the service for a call that was split to the service before; empty if it is new.
 func (e *entry) next(before string) string {
 	if len(e.route.Backends) == 1 {
