forwarder, shaper: bodies are offered before they are sent

Bodies over 16 KiB were sent at once, also those that the link of the upstream's VM could not carry before their deadline, and held up small calls.

Where the receiver states its link rate, a sender now offers such a body first. The node beside the upstream grants offers by class and deadline, with at most 100 ms of the link's rate outstanding, and refuses those that come too late for link (linkBusy) or slot (waitTooLong). An attempt that is sent again asks first, so that the body of a call that runs is not sent twice. Of a message whose context ends, a rest of more than 1 MiB is not written.

--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -115,6 +115,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "register RPC methods for other nodes")
 	}
+	p.receiver.ShapeLink(s.Node.LinkRate)
 	p.buildStoreClients(s)
 	p.dispatcher = dispatcher.New(dispatcher.Config{
 		Node: s.Node.ID, Service: func() string { return p.settings.Load().Upstream.Service },
--- a/internal/proxy/assembler/delayed_test.go
+++ b/internal/proxy/assembler/delayed_test.go
@@ -214,9 +214,13 @@
 // postBody makes a call with bodyRequest.
 func postBody(near *mesh.Node, id string) mesh.Response {
 	conn, err := near.Connect()
-	So(err, ShouldBeNil)
+	if err != nil {
+		return mesh.Response{Err: err}
+	}
 	defer func() { _ = conn.Close() }()
-	So(conn.Send(bodyRequest(id)), ShouldBeNil)
+	if err := conn.Send(bodyRequest(id)); err != nil {
+		return mesh.Response{Err: err}
+	}
 	return conn.Receive(http.MethodPost)
 }
 
--- a/internal/proxy/carrier/carrier.go
+++ b/internal/proxy/carrier/carrier.go
@@ -125,6 +125,8 @@
 	PeerLost Reason = "peerLost"
 	// Stopping: the node is stopping.
 	Stopping Reason = "stopping"
+	// LinkBusy: the link of the upstream's VM can't carry the body in time.
+	LinkBusy Reason = "linkBusy"
 	// UrgentFirst: calls that are more urgent have precedence.
 	UrgentFirst Reason = "urgentFirst"
 	// BodyTooLarge: the request's body exceeds its limit.
--- a/internal/proxy/dispatcher/placement.go
+++ b/internal/proxy/dispatcher/placement.go
@@ -240,7 +240,7 @@
 	case carrier.DeadlineExceeded:
 		// A call whose deadline passed in the queue says nothing about the upstream.
 		o.Failed = r.Outcome != carrier.NotRun
-	case carrier.CallerGone, carrier.UrgentFirst:
+	case carrier.CallerGone, carrier.UrgentFirst, carrier.LinkBusy:
 	default:
 		o.Unreachable = true
 	}
--- a/internal/proxy/dispatcher/retryafter.go
+++ b/internal/proxy/dispatcher/retryafter.go
@@ -25,7 +25,7 @@
 		return 0
 	}
 	delay := failureRetryAfter
-	if r.Reason == carrier.WaitTooLong || r.Reason == carrier.UrgentFirst {
+	if r.Reason == carrier.WaitTooLong || r.Reason == carrier.UrgentFirst || r.Reason == carrier.LinkBusy {
 		delay = r.Wait
 	}
 	maxDelay := time.Duration(maxRetryAfterFraction * float64(remaining))
--- a/internal/proxy/fencer/fencer.go
+++ b/internal/proxy/fencer/fencer.go
@@ -94,20 +94,29 @@
 // case the caller must execute the attempt. Latest is the latest start of the attempt by the
 // clock of now; zero if the sender states none.
 func (f *Fencer) Begin(id AttemptID, latest time.Time, cancel func(), now time.Time) (*Entry, bool) {
-	f.expire(now)
-	if e, known := f.entries[id]; known {
+	if e, known := f.Find(id, latest, now); known {
 		return e, false
 	}
 	e := &Entry{Done: make(chan struct{}), Cancel: cancel, id: id, latest: latest}
-	if !latest.IsZero() && now.After(latest) {
-		e.Expired, e.Result = true, carrier.Fail(carrier.DeadlineExceeded)
-		close(e.Done)
-		return e, false
-	}
 	f.entries[id] = e
 	return e, true
 }
 
+// Find returns the entry of an attempt that Begin would return, and reports whether that is not a
+// new one.
+func (f *Fencer) Find(id AttemptID, latest, now time.Time) (*Entry, bool) {
+	f.expire(now)
+	if e, known := f.entries[id]; known {
+		return e, true
+	}
+	if latest.IsZero() || !now.After(latest) {
+		return nil, false
+	}
+	e := &Entry{Done: make(chan struct{}), id: id, latest: latest, Expired: true, Result: carrier.Fail(carrier.DeadlineExceeded)}
+	close(e.Done)
+	return e, true
+}
+
 // Finish sets the result of an entry and closes its Done channel. It must be called once
 // for each new entry that Begin returned.
 func (f *Fencer) Finish(e *Entry, result carrier.Result, now time.Time) {
--- a/internal/proxy/forwarder/attempts.go
+++ b/internal/proxy/forwarder/attempts.go
@@ -26,6 +26,9 @@
 		reply.Run.OtherProcess = true
 		return nil
 	}
+	if isLarge(args.Job) {
+		r.offers.remove(args.AttemptID, carrier.CallerGone)
+	}
 	latest := r.opened.Add(args.LatestStart)
 	args.Job = args.Job.At(time.Until(latest))
 	reply.Expired = r.execute(args.AttemptID, latest, args.Job, &reply.Run)
@@ -56,12 +59,17 @@
 		result, upstreamTime := r.executor.Execute(ctx, job)
 		r.finish(entry, result, upstreamTime)
 	}
+	r.reportTo(entry, reply)
+	return entry.Expired
+}
+
+// reportTo waits for the result of an attempt and sets the reply to it.
+func (r *Receiver) reportTo(entry *fencer.Entry, reply *RunReply) {
 	<-entry.Done
 	r.mu.Lock()
 	reply.Result, reply.UpstreamTime = entry.Result, entry.UpstreamTime
 	r.mu.Unlock()
 	reply.Load, reply.Version = r.node.Load(), r.node.Version()
-	return entry.Expired
 }
 
 // finish sets the result of an attempt.
@@ -93,4 +101,5 @@
 	if entry != nil {
 		entry.Cancel()
 	}
+	r.offers.remove(id, carrier.CallerGone)
 }
--- a/internal/proxy/forwarder/bounded.go
+++ b/internal/proxy/forwarder/bounded.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"sync/atomic"
 	"time"
 )
 
@@ -25,11 +26,18 @@
 
 // Write implements net.Conn. If the peer takes no data for the timeout, the connection is
 // closed, since nothing may follow a part of a message.
-func (c *boundedConn) Write(b []byte) (int, error) {
+func (c *boundedConn) Write(b []byte) (int, error) { return c.write(b, nil) }
+
+// write does the same and adds the number of bytes to a total as they are written, unless that is
+// nil.
+func (c *boundedConn) write(b []byte, total *atomic.Int64) (int, error) {
 	for written := 0; ; {
 		c.arm(time.Now())
 		n, err := c.Conn.Write(b[written:min(written+writeChunkBytes, len(b))])
 		written += n
+		if total != nil {
+			total.Add(int64(n))
+		}
 		if err != nil {
 			_ = c.Close()
 		}
--- a/internal/proxy/forwarder/forward.go
+++ b/internal/proxy/forwarder/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/rpc"
 	"strings"
 	"syscall"
 	"time"
@@ -43,6 +44,8 @@
 	// it is of an earlier release.
 	mayHaveArrived bool
 	earlier        bool
+	// offered reports whether the receiver may hold an offer of the body.
+	offered bool
 }
 
 // now returns a time by the sender's steady clock.
@@ -79,13 +82,17 @@
 			// The connection had been closed before; open a new one without delay.
 			continue
 		case !a.mayHaveArrived:
+			f.cancel(a)
 			return lostReply(false)
 		case errors.Is(err, syscall.ECONNREFUSED), canFailOver && sends > maxResendsBeforeFailover:
 			// A refused connection means that the process has exited.
 			f.cancel(a)
 			return lostReply(true)
 		}
-		f.notifyUnresponsive(m.Address)
+		if !errors.Is(err, rpc.ErrShutdown) {
+			// This process has closed the connection itself, and has reported why.
+			f.notifyUnresponsive(m.Address)
+		}
 		if sends > 1 && !pauser.Pause(ctx, resendDelay) {
 			return f.abandon(ctx, a)
 		}
@@ -96,23 +103,19 @@
 // result.
 func (f *Forwarder) send(ctx context.Context, a *attempt) (RunReply, error) {
 	p := a.node.small
-	if len(a.args.Job.Call.Body) > largeBodyBytes {
+	if isLarge(a.args.Job) {
+		if reply, granted, err := f.offer(ctx, a); !granted {
+			return reply, err
+		}
 		p = a.node.large
 	}
-	l, err := p.connect(ctx)
-	if err != nil {
-		return RunReply{}, err
-	}
-	if err := f.identify(ctx, a.node, p, l); err != nil {
+	l, err := f.connect(ctx, p, a)
+	switch {
+	case err != nil:
 		return RunReply{}, err
-	}
-	if l.earlier {
+	case l.earlier:
 		return f.sendRun(ctx, p, l, a)
-	}
-	if !a.dated {
-		a.args.LatestStart, a.dated = a.node.clock.convert(a.member.Start, a.deadline.Sub(f.opened), f.now())
-	}
-	if !a.dated || l.process != a.member.Start {
+	case !a.isFor(l):
 		return RunReply{OtherProcess: true}, nil
 	}
 	reply := &AttemptReply{}
@@ -120,17 +123,69 @@
 	err = p.call(ctx, l, "Attempt", &a.args, reply, a.deadline)
 	a.mayHaveArrived = a.mayHaveArrived || !errors.Is(err, errNotSent)
 	received, err := replyOf(reply, err)
-	if err != nil || received.Run.OtherProcess {
-		return received.Run, err
+	return f.resultOf(a, received, mayHaveRun, sent), err
+}
+
+// resultOf returns the result that a reply to a message holds, and learns the receiver's clock from
+// it. It returns an empty one as it is. The message was sent at the given time.
+func (f *Forwarder) resultOf(a *attempt, reply AttemptReply, mayHaveRun bool, sent time.Duration) RunReply {
+	if reply.Reading > 0 {
+		a.node.clock.observe(a.member.Start, reply.Reading, sent, f.now())
 	}
-	a.node.clock.observe(a.member.Start, received.Reading, sent, f.now())
-	if received.Expired && !mayHaveRun {
+	if reply.Expired && !mayHaveRun {
 		// Only the sender knows that this was the first message of the attempt.
-		received.Run.Result = carrier.Refuse(carrier.DeadlineExceeded)
+		reply.Run.Result = carrier.Refuse(carrier.DeadlineExceeded)
+	}
+	return reply.Run
+}
+
+// offer offers the body of an attempt, if the receiver states the rate of its link, and waits until
+// the offer is granted. If it is not, offer returns the result of the attempt or an error.
+func (f *Forwarder) offer(ctx context.Context, a *attempt) (RunReply, bool, error) {
+	if a.member.LinkRate == 0 {
+		return RunReply{}, true, nil
 	}
-	return received.Run, nil
+	p := a.node.small
+	l, err := f.connect(ctx, p, a)
+	switch {
+	case err != nil:
+		return RunReply{}, false, err
+	case l.earlier:
+		return RunReply{}, true, nil
+	case !a.isFor(l):
+		return RunReply{OtherProcess: true}, false, nil
+	}
+	args := &OfferArgs{Attempt: a.args, Bytes: len(a.args.Job.Call.Body)}
+	args.Attempt.Job.Call.Body = nil
+	reply, sent := &OfferReply{}, f.now()
+	a.offered = true
+	err = p.call(ctx, l, "Offer", args, reply, a.deadline)
+	received, err := replyOf(reply, err)
+	return f.resultOf(a, received.Attempt, a.mayHaveArrived, sent), err == nil && received.Granted, err
 }
 
+// isLarge reports whether the body of a job takes the connection for large bodies.
+func isLarge(job executor.Job) bool { return len(job.Call.Body) > largeBodyBytes }
+
+// connect returns an open connection whose receiver is known, and states the latest start of the
+// attempt by the receiver's clock.
+func (f *Forwarder) connect(ctx context.Context, p *peer, a *attempt) (*connection, error) {
+	l, err := p.connect(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if err := f.identify(ctx, a.node, p, l); err != nil {
+		return nil, err
+	}
+	if !a.dated && !l.earlier {
+		a.args.LatestStart, a.dated = a.node.clock.convert(a.member.Start, a.deadline.Sub(f.opened), f.now())
+	}
+	return l, nil
+}
+
+// isFor reports whether a connection leads to the process that must run the attempt.
+func (a *attempt) isFor(l *connection) bool { return a.dated && l.process == a.member.Start }
+
 // sendRun does the same on a connection to a receiver of an earlier release.
 func (f *Forwarder) sendRun(ctx context.Context, p *peer, l *connection, a *attempt) (RunReply, error) {
 	args := &RunArgs{AttemptID: a.args.AttemptID, Start: a.member.Start, Job: a.args.Job}
@@ -215,7 +270,7 @@
 
 // cancel cancels an attempt at its receiver, unless no message of it was sent. It does not wait.
 func (f *Forwarder) cancel(a *attempt) {
-	if !a.mayHaveArrived {
+	if !a.mayHaveArrived && !a.offered {
 		return
 	}
 	method, args := "Revoke", any(&RevokeArgs{AttemptID: a.args.AttemptID, Start: a.member.Start, LatestStart: a.args.LatestStart})
--- a/internal/proxy/forwarder/forward_test.go
+++ b/internal/proxy/forwarder/forward_test.go
@@ -67,6 +67,29 @@
 	return slices.Clone(n.revoked)
 }
 
+// closableLink is a slow link whose write ends when it is closed, as that of a socket.
+type closableLink struct {
+	slowLink
+	closed    chan struct{}
+	closeOnce *sync.Once
+}
+
+// Write implements net.Conn.
+func (c closableLink) Write(b []byte) (int, error) {
+	select {
+	case <-time.After(time.Duration(len(b)) * c.perByte):
+		return c.Conn.Write(b)
+	case <-c.closed:
+		return 0, net.ErrClosed
+	}
+}
+
+// Close implements net.Conn.
+func (c closableLink) Close() error {
+	c.closeOnce.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
 // linkTo returns a forwarder whose connections lead to a service and take a time for each byte.
 func linkTo(service any, perByte time.Duration) *Forwarder {
 	server := rpc.NewServer()
@@ -74,7 +97,7 @@
 	return New("near", 10, func(context.Context, string) (net.Conn, error) {
 		near, far := net.Pipe()
 		go server.ServeCodec(coder.NewServerCodec(far, &atomic.Int64{}))
-		return slowLink{near, perByte}, nil
+		return closableLink{slowLink{near, perByte}, make(chan struct{}), &sync.Once{}}, nil
 	})
 }
 
--- a/internal/proxy/forwarder/messages.go
+++ b/internal/proxy/forwarder/messages.go
@@ -19,7 +19,7 @@
 
 //go:generate go tool msgp -tests=false -marshal=false -o messages_gen.go
 
-//msgp:tuple RunArgs RunReply CancelArgs AttemptArgs AttemptReply RevokeArgs ClockReply Empty DrainStartArgs DrainStartReply ConfigurationArgs ConfigurationReply
+//msgp:tuple RunArgs RunReply CancelArgs AttemptArgs AttemptReply RevokeArgs ClockReply OfferArgs OfferReply Empty DrainStartArgs DrainStartReply ConfigurationArgs ConfigurationReply
 //msgp:ignore MemberList
 
 // ClockReply holds a reading of the receiver's steady clock.
@@ -160,3 +160,18 @@
 		Era: keeper.Era(r.PackedPosition >> revisionBits), Revision: keeper.Revision(r.PackedPosition & (1<<revisionBits - 1)),
 	}
 }
+
+// OfferArgs offers an attempt with a large body before the body is sent.
+type OfferArgs struct {
+	// Attempt is the attempt without the body of its call.
+	Attempt AttemptArgs
+	// Bytes is the size of the body.
+	Bytes int
+}
+
+// OfferReply grants an offer, or holds the result of the attempt if it is refused or has begun
+// already.
+type OfferReply struct {
+	Granted bool
+	Attempt AttemptReply
+}
--- a/internal/proxy/forwarder/messages_gen.go
+++ b/internal/proxy/forwarder/messages_gen.go
@@ -485,6 +485,143 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *OfferArgs) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	err = z.Attempt.DecodeMsg(dc)
+	if err != nil {
+		err = msgp.WrapError(err, "Attempt")
+		return
+	}
+	z.Bytes, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "Bytes")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *OfferArgs) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = z.Attempt.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "Attempt")
+		return
+	}
+	err = en.WriteInt(z.Bytes)
+	if err != nil {
+		err = msgp.WrapError(err, "Bytes")
+		return
+	}
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *OfferArgs) Msgsize() (s int) {
+	s = 1 + z.Attempt.Msgsize() + msgp.IntSize
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *OfferReply) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Granted, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Granted")
+		return
+	}
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Attempt")
+		return
+	}
+	if zb0002 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0002}
+		return
+	}
+	err = z.Attempt.Run.DecodeMsg(dc)
+	if err != nil {
+		err = msgp.WrapError(err, "Attempt", "Run")
+		return
+	}
+	z.Attempt.Reading, err = dc.ReadDuration()
+	if err != nil {
+		err = msgp.WrapError(err, "Attempt", "Reading")
+		return
+	}
+	z.Attempt.Expired, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Attempt", "Expired")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *OfferReply) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Granted)
+	if err != nil {
+		err = msgp.WrapError(err, "Granted")
+		return
+	}
+	// array header, size 3
+	err = en.Append(0x93)
+	if err != nil {
+		return
+	}
+	err = z.Attempt.Run.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "Attempt", "Run")
+		return
+	}
+	err = en.WriteDuration(z.Attempt.Reading)
+	if err != nil {
+		err = msgp.WrapError(err, "Attempt", "Reading")
+		return
+	}
+	err = en.WriteBool(z.Attempt.Expired)
+	if err != nil {
+		err = msgp.WrapError(err, "Attempt", "Expired")
+		return
+	}
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *OfferReply) Msgsize() (s int) {
+	s = 1 + msgp.BoolSize + 1 + z.Attempt.Run.Msgsize() + msgp.DurationSize + msgp.BoolSize
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *RevokeArgs) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
--- a/internal/proxy/forwarder/peer.go
+++ b/internal/proxy/forwarder/peer.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/tinylib/msgp/msgp"
+
 	"github.com/tamarackscale/tamarackscale/internal/proxy/coder"
 )
 
@@ -34,6 +36,10 @@
 	// largeBufferBytes is the size of the kernel's send buffer on the connection for large bodies.
 	// What it holds can't be withdrawn when its caller leaves.
 	largeBufferBytes = 64 << 10
+	// abandonBytes is the rest of a message above which its connection is closed when its context
+	// ends while it is being written. A shorter rest is written, since the other attempts on the
+	// connection would have to be sent again.
+	abandonBytes = 1 << 20
 )
 
 var (
@@ -59,12 +65,14 @@
 	lastRead atomic.Int64
 	// writes counts the calls of Write. It shows whether a call was written at all.
 	writes atomic.Int64
+	// written is the number of bytes that the calls of Write have written.
+	written atomic.Int64
 }
 
 // Write implements net.Conn.
 func (m *monitoredConn) Write(b []byte) (int, error) {
 	m.writes.Add(1)
-	return m.boundedConn.Write(b)
+	return m.boundedConn.write(b, &m.written)
 }
 
 // Read implements net.Conn.
@@ -302,6 +310,15 @@
 		return nil, err
 	}
 	defer l.releaseTurn()
+	if message, ok := args.(msgp.Sizer); ok && p.large {
+		end := l.conn.written.Load() + int64(message.Msgsize())
+		stop := context.AfterFunc(ctx, func() {
+			if end-l.conn.written.Load() > abandonBytes {
+				p.drop(l)
+			}
+		})
+		defer stop()
+	}
 	writesBefore := l.conn.writes.Load()
 	pending := l.Go(qualified(method), args, reply, make(chan *rpc.Call, 1))
 	if l.conn.writes.Load() == writesBefore {
--- a/internal/proxy/forwarder/receiver.go
+++ b/internal/proxy/forwarder/receiver.go
@@ -45,6 +45,7 @@
 	// pending is the number of messages of which a byte has arrived and whose reply is not
 	// written yet.
 	pending atomic.Int64
+	offers  *offers
 
 	mu     sync.Mutex
 	fencer *fencer.Fencer
@@ -57,7 +58,7 @@
 func NewReceiver(start int64, e *executor.Executor, n Node) (*Receiver, error) {
 	r := &Receiver{
 		start: start, opened: time.Now(), executor: e, node: n, server: rpc.NewServer(), fencer: fencer.New(),
-		conns: map[net.Conn]struct{}{},
+		conns: map[net.Conn]struct{}{}, offers: newOffers(e),
 	}
 	return r, r.server.RegisterName(serviceName, &methods{r})
 }
@@ -102,6 +103,7 @@
 
 // Close closes all connections. Serve accepts none afterwards.
 func (r *Receiver) Close() {
+	r.offers.close()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.closed = true
--- a/standin/mesh/mesh.go
+++ b/standin/mesh/mesh.go
@@ -160,6 +160,9 @@
 // SetSeed makes another VM the only seed of this VM's next proxy process.
 func (n *Node) SetSeed(other *Node) { n.settings.Seeds = []string{other.settings.Listen.Control} }
 
+// SetLinkRate sets the link rate in Mbit/s that the VM's next proxy process knows.
+func (n *Node) SetLinkRate(rate float64) { n.settings.Node.LinkRate = rate }
+
 // Kill ends the proxy without a shutdown. The upstream keeps running.
 func (n *Node) Kill() {
 	n.cancel()
--- a/standin/network/network.go
+++ b/standin/network/network.go
@@ -23,6 +23,8 @@
 	// silence ends the delivery of data on the connections that were opened before; it is
 	// closed and replaced by Silence.
 	silence chan struct{}
+	// links holds the links of hosts with a limited rate.
+	links map[string]*link
 	// linger makes connections deliver what was written to them before they were closed.
 	linger atomic.Bool
 }
@@ -34,9 +36,52 @@
 		cut:       func(string, string) bool { return false },
 		delay:     func(string, string) time.Duration { return 0 },
 		silence:   make(chan struct{}),
+		links:     map[string]*link{},
 	}
 }
 
+// link is the link of a host with a limited rate.
+type link struct {
+	bytesPerSecond float64
+	// busyUntil is when the link has carried everything that was sent to the host, and carried the
+	// number of those bytes.
+	busyUntil time.Time
+	carried   int
+}
+
+// Limit limits the rate at which data of other hosts arrives at a host, in bytes per second. The
+// link carries the data of all connections in the order of the writes. It has an effect on
+// connections with a delay only.
+func (n *Network) Limit(host string, bytesPerSecond float64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.links[host] = &link{bytesPerSecond: bytesPerSecond}
+}
+
+// Carried returns the number of bytes that were sent to a host since Limit.
+func (n *Network) Carried(host string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.links[host].carried
+}
+
+// transfer returns how long the link of a host needs until it has carried some more bytes.
+func (n *Network) transfer(from, host string, bytes int) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l := n.links[host]
+	if l == nil || from == host {
+		return 0
+	}
+	now := time.Now()
+	if l.busyUntil.Before(now) {
+		l.busyUntil = now
+	}
+	l.carried += bytes
+	l.busyUntil = l.busyUntil.Add(time.Duration(float64(bytes) / l.bytesPerSecond * float64(time.Second)))
+	return l.busyUntil.Sub(now)
+}
+
 // Silence ends the delivery of data on all open connections, without closing them. New ones
 // work.
 func (n *Network) Silence() {
@@ -285,7 +330,7 @@
 		return c.Conn.Write(p)
 	}
 	select {
-	case c.queue <- delayedWrite{due: time.Now().Add(delay), data: append([]byte(nil), p...)}:
+	case c.queue <- delayedWrite{due: time.Now().Add(delay + c.network.transfer(c.from, c.to, len(p))), data: append([]byte(nil), p...)}:
 		return len(p), nil
 	case <-c.done:
 		return 0, net.ErrClosed
