--- a/internal/proxy/shaper/shaper_test.go
+++ b/internal/proxy/shaper/shaper_test.go
@@ -20,7 +20,7 @@
 // state returns whether an offer is granted, refused or waits.
 func state(o *Offer) string {
 	select {
-	case refusal := refusalOf(o):
+	case refusal := <-o.Settled:
 		if refusal == nil {
 			return "granted"
 		}
