--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -129,6 +129,7 @@
 			return nil, err
 		}
 	}
+	p.receiver.ShapeLink(s.Node.LinkRate)
 	p.buildStoreClients(s)
 	p.dispatcher = dispatcher.New(dispatcher.Config{
 		Node: s.Node.ID, Service: func() string { return p.settings.Load().Upstream.Service },
