quotas: the calls of an account stay within its limit over all nodes

Cause: accounts may have a rate and a burst, which hold for the sum of the calls that run on all nodes, in contact or not.

--- a/internal/observe/reporter/accounts.go
+++ b/internal/observe/reporter/accounts.go
@@ -5,6 +5,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/tamarackscale/tamarackscale/internal/account/rationer"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/dispatcher"
 )
@@ -24,6 +25,8 @@
 type accountMetrics struct {
 	callTime *prometheus.HistogramVec
 	refusals *prometheus.CounterVec
+	// tokens counts the tokens of quotas by what became of them.
+	tokens *prometheus.CounterVec
 
 	// mu protects names, the accounts with series of their own.
 	mu    sync.Mutex
@@ -36,9 +39,10 @@
 			Name: "tamarackscale_account_call_seconds", Help: "Whole time of a call that an upstream answered, by account.", Buckets: accountBuckets,
 		}, []string{"account"}),
 		refusals: counter("tamarackscale_account_refusals_total", "Calls that were not run, by account and reason.", "account", "reason"),
+		tokens:   counter("tamarackscale_quota_tokens_total", "Tokens of quotas: asks for some, and tokens that were granted, expired unused or came back from calls that did not run.", "event"),
 		names:    map[string]bool{},
 	}
-	registry.MustRegister(m.callTime, m.refusals)
+	registry.MustRegister(m.callTime, m.refusals, m.tokens)
 	return m
 }
 
@@ -68,3 +72,11 @@
 		m.refusals.WithLabelValues("", string(reason)).Inc()
 	}
 }
+
+// Tokens implements granter.Observer.
+func (r *Reporter) Tokens(s rationer.Stats) {
+	r.accounts.tokens.WithLabelValues("asked").Add(float64(s.Asked))
+	r.accounts.tokens.WithLabelValues("granted").Add(float64(s.Granted))
+	r.accounts.tokens.WithLabelValues("expired").Add(float64(s.Expired))
+	r.accounts.tokens.WithLabelValues("returned").Add(float64(s.Returned))
+}
--- a/internal/observe/reporter/accounts_test.go
+++ b/internal/observe/reporter/accounts_test.go
@@ -9,6 +9,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/tamarackscale/tamarackscale/internal/account/rationer"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/dispatcher"
 )
@@ -25,6 +26,7 @@
 			r.Ended(e)
 		}
 		r.Ended(dispatcher.Event{Result: carrier.Refuse(carrier.KeyMissing), Status: 401})
+		r.Tokens(rationer.Stats{Asked: 1, Granted: 2, Expired: 3, Returned: 4})
 		recorder := httptest.NewRecorder()
 		r.Handler().ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
 		text := recorder.Body.String()
@@ -32,5 +34,6 @@
 		So(strings.Count(text, "tamarackscale_account_refusals_total{"), ShouldEqual, maxAccountNames+2)
 		So(text, ShouldContainSubstring, fmt.Sprintf(`account_call_seconds_count{account="other"} %d`, 10_000-maxAccountNames))
 		So(text, ShouldContainSubstring, `account_refusals_total{account="",reason="keyMissing"} 1`)
+		So(text, ShouldContainSubstring, `quota_tokens_total{event="returned"} 4`)
 	})
 }
--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/tamarackscale/tamarackscale/internal/account/granter"
 	"github.com/tamarackscale/tamarackscale/internal/kernel/dialer"
 	"github.com/tamarackscale/tamarackscale/internal/observe/reporter"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/acceptor"
@@ -64,6 +65,9 @@
 	acceptor   *acceptor.Acceptor
 	subscriber *subscriber.Subscriber
 	finder     *finder.Finder
+	// granter is nil if accounts have no quotas.
+	granter   *granter.Granter
+	isolation *isolation
 
 	transport *http.Transport
 	servers   []*http.Server
@@ -115,15 +119,23 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "register RPC methods for other nodes")
 	}
+	p.isolation = p.newIsolation()
 	p.buildStoreClients(s)
-	p.dispatcher = dispatcher.New(dispatcher.Config{
+	if err := p.buildQuotas(s.Quotas); err != nil {
+		return nil, errors.Wrap(err, "register the service of quotas")
+	}
+	calls := dispatcher.Config{
 		Node: s.Node.ID, Service: func() string { return p.settings.Load().Upstream.Service },
 		Table: p.subscriber.Table, Forward: p.forwarder, Execute: p.executor, Observe: p.telemetry, Identities: platform.HTTP{},
 		Balancer: balancer.New(s.Node.AvailabilityZone), End: p.callsEnd,
 		Budget: retrier.Budget{
 			Ratio: p.bounds.RetryRatio, Slack: p.bounds.RetrySlack, Window: p.bounds.RetryWindow.Std(),
 		},
-	})
+	}
+	if p.granter != nil {
+		calls.Quotas = p.granter
+	}
+	p.dispatcher = dispatcher.New(calls)
 	p.acceptor = acceptor.New(platform.HTTP{}, p.dispatcher, p.telemetry)
 	p.telemetry.OnVersion(p.subscriber.Hint)
 	p.forwarder.OnUnresponsive(func(address string) {
@@ -144,7 +156,7 @@
 		Observe: p.telemetry.StoreCall, EraBegan: p.telemetry.StoreEra,
 	}, p.transport)
 	p.finder = finder.New(finder.Config{
-		Store: store, Directory: p, Messenger: p.forwarder, Observe: p.telemetry,
+		Store: store, Directory: p, Messenger: p.forwarder, Observe: p.isolation,
 		Seeds: s.SeedAddresses(), FirstStart: s.FirstStart, UpstreamKnown: p.known,
 	})
 	p.subscriber = subscriber.New(subscriber.Config{
@@ -235,6 +247,7 @@
 // subscriber, for which the caller cancels the context of Start.
 func (p *Proxy) Close() {
 	p.closeOnce.Do(func() {
+		close(p.isolation.done)
 		p.closeListeners()
 		for _, server := range p.servers {
 			_ = server.Close()
--- a/internal/proxy/assembler/mesh_test.go
+++ b/internal/proxy/assembler/mesh_test.go
@@ -102,6 +102,11 @@
 // service "b" for each entry of zones. In the tests, near is the node that gets a call from
 // its caller, and far a node whose upstream runs it.
 func inMesh(t *testing.T, zones []string, run func(m *mesh.Mesh)) {
+	inMeshWith(t, zones, func(*mesh.Mesh) {}, run)
+}
+
+// inMeshWith is inMesh with a mesh that is prepared before the VMs are added.
+func inMeshWith(t *testing.T, zones []string, prepare, run func(m *mesh.Mesh)) {
 	log.SetOutput(io.Discard)
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -121,6 +126,7 @@
 				}
 				return time.Millisecond
 			})
+			prepare(m)
 			configure(m, 1, idempotent(readPrefix, "a"), nonIdempotent(orderPrefix, "b"))
 			for _, zone := range zones {
 				for _, service := range []string{"a", "b"} {
--- a/internal/proxy/carrier/carrier.go
+++ b/internal/proxy/carrier/carrier.go
@@ -138,6 +138,9 @@
 	ParentUnknown Reason = "parentUnknown"
 	// OverQuota: the account has no quota left.
 	OverQuota Reason = "overQuota"
+	// QuotaUnavailable: the owner of the account's quota can't be reached, and what the node may admit
+	// without it is used up.
+	QuotaUnavailable Reason = "quotaUnavailable"
 )
 
 // Result is the result of one attempt or of the whole call.
--- a/internal/proxy/dispatcher/account.go
+++ b/internal/proxy/dispatcher/account.go
@@ -1,6 +1,10 @@
 package dispatcher
 
 import (
+	"context"
+	"time"
+
+	"github.com/tamarackscale/tamarackscale/internal/account/rationer"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/executor"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/router"
@@ -55,3 +59,51 @@
 	event.Account = name
 	d.Identities.SetAccount(&event.Call, name)
 }
+
+// Quotas takes tokens for calls of accounts that have a limit.
+type Quotas interface {
+	// Take takes a token and waits for it a short time at most.
+	Take(ctx context.Context, account string, limit rationer.Limit, remaining time.Duration) rationer.Verdict
+	// Return takes back the token of a call that did not run.
+	Return(account string)
+}
+
+// ration takes a token for a call of an account with a limit, and reports whether the call is refused
+// with the result. Nested calls cost none: their parents have paid.
+func (d *Dispatcher) ration(ctx context.Context, t *router.Table, event *Event, account *router.Account) (carrier.Result, bool) {
+	if d.Quotas == nil || event.Nested || !account.Limited() {
+		return carrier.Result{}, false
+	}
+	route := t.Route(event.Call.Host, event.Call.Target)
+	if route == nil {
+		return carrier.Result{}, false
+	}
+	limit := rationer.Limit{Rate: account.Rate, Burst: account.Burst}
+	verdict := d.Quotas.Take(ctx, account.Name, limit, timeoutOf(event.Call, router.Match{Route: route}))
+	event.overQuota = verdict.Over
+	switch {
+	case verdict.Admitted:
+		event.hasToken = true
+		return carrier.Result{}, false
+	case verdict.Unavailable:
+		return carrier.Result{Outcome: carrier.NotRun, Reason: carrier.QuotaUnavailable, Wait: verdict.Wait}, true
+	default:
+		return carrier.Result{Outcome: carrier.NotRun, Reason: carrier.OverQuota, Wait: verdict.Wait}, true
+	}
+}
+
+// returnToken gives back the token of a call that did not run.
+func (d *Dispatcher) returnToken(e Event) {
+	if e.hasToken && e.Result.Outcome == carrier.NotRun {
+		d.Quotas.Return(e.Account)
+	}
+}
+
+// objectiveOf returns the objective of a call. Calls of an account that asks for more than its quota
+// count as late, so that they wait behind those of others while upstreams lack capacity.
+func objectiveOf(match router.Match, e *Event) time.Duration {
+	if e.overQuota {
+		return 0
+	}
+	return match.Objective - e.Waited
+}
--- a/internal/proxy/dispatcher/dispatcher.go
+++ b/internal/proxy/dispatcher/dispatcher.go
@@ -82,6 +82,11 @@
 	Waited time.Duration
 	// Took is the time from the last byte of the request to the response.
 	Took time.Duration
+
+	// hasToken means that the call has taken a token of its account's quota, overQuota that the
+	// account has lately asked for more.
+	hasToken  bool
+	overQuota bool
 }
 
 // Attempt is one try of a call at one node.
@@ -112,9 +117,11 @@
 	Execute Executor
 	// Identities is needed only if a configuration has accounts.
 	Identities Identities
-	Observe    Observer
-	Balancer   *balancer.Balancer
-	Budget     retrier.Budget
+	// Quotas is nil if accounts have no quotas.
+	Quotas   Quotas
+	Observe  Observer
+	Balancer *balancer.Balancer
+	Budget   retrier.Budget
 	// End returns the time by which calls must have ended; zero if there is none. Nil
 	// means that there never is.
 	End func() time.Time
@@ -171,6 +178,9 @@
 	if reason != "" {
 		return d.respond(event, carrier.Refuse(reason), received, defaultTimeout)
 	}
+	if result, over := d.ration(ctx, table, &event, account); over {
+		return d.respond(event, result, received, defaultTimeout)
+	}
 	call = event.Call
 	refused := d.takeRefusal(call, received)
 	event.Waited = received.Sub(refused.First)
@@ -189,7 +199,7 @@
 	defer cancel()
 	p := &placement{
 		d: d, match: match, call: call, received: received, timeout: timeout,
-		objective: match.Objective - event.Waited, event: &event,
+		objective: objectiveOf(match, &event), event: &event,
 	}
 	result := p.place(ctx)
 	if result.Outcome == carrier.NotRun {
@@ -249,6 +259,7 @@
 // The remaining time is what is left until the call's deadline.
 func (d *Dispatcher) respond(e Event, r carrier.Result, received time.Time, remaining time.Duration) acceptor.Response {
 	e.Result, e.Took = r, time.Since(received)
+	d.returnToken(e)
 	response := acceptor.Response{Answer: r.Answer}
 	e.Status = r.Answer.Status
 	if r.Outcome != carrier.Run {
--- a/internal/proxy/dispatcher/retryafter.go
+++ b/internal/proxy/dispatcher/retryafter.go
@@ -25,7 +25,7 @@
 	switch {
 	case r.Outcome != carrier.NotRun, r.Reason == carrier.NoRoute, r.Reason == carrier.KeyMissing, r.Reason == carrier.KeyUnknown:
 		return 0
-	case r.Reason == carrier.OverQuota:
+	case r.Reason == carrier.OverQuota, r.Reason == carrier.QuotaUnavailable:
 		return max(r.Wait, minRetryAfter)
 	}
 	delay := failureRetryAfter
--- a/standin/mesh/mesh.go
+++ b/standin/mesh/mesh.go
@@ -33,6 +33,8 @@
 	Network *network.Network
 	Store   *metastore.Store
 	Nodes   []*Node
+	// Quotas is the section of that name in the settings of the VMs that are added later.
+	Quotas *reader.Quotas
 	// ctx ends the store, the upstreams and the proxies.
 	ctx context.Context
 }
@@ -126,6 +128,7 @@
 		},
 		Platform: reader.Platform{Address: storeAddress},
 		Upstream: reader.Upstream{Service: service, Address: n.UpstreamAddress()},
+		Quotas:   n.mesh.Quotas,
 		Bounds: reader.Bounds{
 			DrainTime: decoder.Duration(2 * time.Second), Grace: decoder.Duration(6 * time.Second),
 			RetryRatio: 0.2, RetrySlack: 56, RetryWindow: decoder.Duration(10 * time.Second),
