proxy: heads, bodies, messages and answers reserve memory, connections are bounded

Cause: see the tests of standin/adversary. net/http makes many times its bytes of a head of short lines, io.ReadAll doubles its buffer for bodies, answers that are not read wait without bound, and the servers for readiness and control take heads of 1 MB. Change: a head is read raw and its cost reserved (its bytes and 256 a line) before net/http parses it; bodies must make progress of 4 KB in 5 s; a caller gets 503 and Retry-After (memoryFull, connectionLimit) for what does not fit. Answers are reserved before they are read and count until their caller has them; messages of nodes until their reply is written, and answers kept for resent attempts for 2 s. The garbage collector gets a limit 20 MB below limits.memory. Metrics of use and refusals by purpose. The head's limit applies to its true bytes if that is less than the former estimate, which counted a space that short lines do not have.

--- a/internal/proxy/acceptor/acceptor.go
+++ b/internal/proxy/acceptor/acceptor.go
@@ -6,12 +6,14 @@
 import (
 	"bufio"
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/tamarackscale/tamarackscale/internal/kernel/accountant"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/router"
 )
@@ -72,6 +74,7 @@
 	dialect Dialect
 	handler Handler
 	observe Observer
+	account *accountant.Account
 
 	inFlight atomic.Int64
 	stopping atomic.Bool
@@ -83,17 +86,23 @@
 	removed chan struct{}
 }
 
-// New returns an acceptor. Serve must be called with a listener.
-func New(dialect Dialect, handler Handler, observe Observer) *Acceptor {
+// New returns an acceptor that reserves memory from the account. Serve must be called with a listener.
+func New(dialect Dialect, handler Handler, observe Observer, account *accountant.Account) *Acceptor {
 	return &Acceptor{
-		dialect: dialect, handler: handler, observe: observe, conns: map[*conn]struct{}{}, removed: make(chan struct{}, 1),
+		dialect: dialect, handler: handler, observe: observe, account: account, conns: map[*conn]struct{}{},
+		removed: make(chan struct{}, 1),
 	}
 }
 
-// Serve accepts connections until the listener is closed or fails.
+// Serve accepts connections until the listener is closed. It bounds their number only if that is a
+// listener of the account.
 func (a *Acceptor) Serve(l net.Listener) {
+	bounded, ok := l.(*accountant.Listener)
+	if !ok {
+		bounded = a.account.Listen(l, "callers", math.MaxInt, "")
+	}
 	for {
-		raw, err := l.Accept()
+		raw, err := bounded.AcceptConn()
 		if err != nil {
 			return
 		}
--- a/internal/proxy/acceptor/conn.go
+++ b/internal/proxy/acceptor/conn.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/tamarackscale/tamarackscale/internal/kernel/accountant"
 	"github.com/tamarackscale/tamarackscale/internal/kernel/limiter"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
 )
@@ -41,6 +42,8 @@
 	received time.Time
 	// last reports whether the caller asked to close the connection after the response.
 	last bool
+	// memory is what the call holds until its response is written.
+	memory accountant.Reservation
 	// previous is closed when the response to the previous call on the connection is
 	// written, and written when the response to this call is. Both are closed even if the
 	// connection has failed and nothing is written.
@@ -52,11 +55,14 @@
 // own.
 type conn struct {
 	acceptor *Acceptor
-	raw      net.Conn
+	raw      *accountant.Conn
 	limit    *limiter.Reader
 	// reader reads from limit.
 	reader *bufio.Reader
 	writer *bufio.Writer
+	// head holds the head that was read last, memory what the request being read holds.
+	head   []byte
+	memory accountant.Reservation
 	// pipelined limits the calls in flight; it holds one element for each.
 	pipelined chan struct{}
 	// work passes calls to the worker.
@@ -71,12 +77,12 @@
 	cancel context.CancelFunc
 }
 
-func newConn(acceptor *Acceptor, raw net.Conn) *conn {
+func newConn(acceptor *Acceptor, raw *accountant.Conn) *conn {
 	limit := &limiter.Reader{Reader: raw, Exceeded: errReadLimit}
 	return &conn{
 		acceptor: acceptor, raw: raw, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes),
 		writer: bufio.NewWriterSize(raw, writeBufferBytes), pipelined: make(chan struct{}, maxPipelined),
-		work: make(chan task), state: state{lastResponse: time.Now()},
+		memory: acceptor.account.Open(raw), work: make(chan task), state: state{lastResponse: time.Now()},
 	}
 }
 
@@ -92,6 +98,7 @@
 	for {
 		request, body, err := c.readRequest(previous)
 		if err != nil {
+			c.memory.Release()
 			c.finish(err, previous)
 			c.abandonRead()
 			c.cancel()
@@ -99,14 +106,20 @@
 		}
 		received := time.Now()
 		call := c.acceptor.dialect.DecodeCall(request, body)
+		c.raw.AddBusy(1)
 		c.pipelined <- struct{}{}
 		if !c.state.accept() {
+			c.memory.Release()
+			c.raw.AddBusy(-1)
 			c.drop(call, previous)
 			c.cancel()
 			return
 		}
 		written := make(chan struct{})
-		c.startTask(ctx, task{call: call, received: received, last: request.Close, previous: previous, written: written})
+		c.startTask(ctx, task{
+			call: call, received: received, last: request.Close, memory: c.memory, previous: previous, written: written,
+		})
+		c.memory = c.acceptor.account.Open(c.raw)
 		previous = written
 		if request.Close {
 			c.lingerAndClose()
@@ -158,14 +171,12 @@
 	if err := c.awaitRequest(limits.IdleTimeout); err != nil {
 		return nil, nil, err
 	}
+	c.raw.Begin()
 	c.setReadTimeout(limits.HeaderTimeout)
-	request, err := http.ReadRequest(c.reader)
+	request, err := c.readHead(limits.MaxHeaderBytes)
 	if err != nil {
 		return nil, nil, readError(err, headRejections)
 	}
-	if headBytes(request) > limits.MaxHeaderBytes {
-		return nil, nil, headRejections.tooLarge
-	}
 	body, err := c.body(request, limits.MaxBodyBytes, previous)
 	c.setReadTimeout(0)
 	return request, body, err
@@ -188,12 +199,7 @@
 			return nil, err
 		}
 	}
-	c.limit.Remaining = maxChunkOverhead*limit + readBufferBytes
-	c.setReadTimeout(bodyTimeout)
-	body, err := io.ReadAll(io.LimitReader(request.Body, limit+1))
-	if int64(len(body)) > limit {
-		return nil, bodyRejections.tooLarge
-	}
+	body, err := c.readBody(request, limit)
 	if err != nil {
 		return nil, readError(err, bodyRejections)
 	}
@@ -217,6 +223,8 @@
 type rejection struct {
 	status int
 	reason string
+	// retryAfter is how long the caller should wait before it retries; 0 if that is of no use.
+	retryAfter time.Duration
 }
 
 func (r *rejection) Error() string { return r.reason }
@@ -230,22 +238,32 @@
 
 var (
 	headRejections = rejections{
-		tooLarge:  &rejection{http.StatusRequestHeaderFieldsTooLarge, "headerTooLarge"},
-		timeout:   &rejection{http.StatusRequestTimeout, "headerTimeout"},
-		malformed: &rejection{http.StatusBadRequest, "malformedRequest"},
+		tooLarge:  &rejection{http.StatusRequestHeaderFieldsTooLarge, "headerTooLarge", 0},
+		timeout:   &rejection{http.StatusRequestTimeout, "headerTimeout", 0},
+		malformed: &rejection{http.StatusBadRequest, "malformedRequest", 0},
 	}
 	bodyRejections = rejections{
-		tooLarge:  &rejection{http.StatusRequestEntityTooLarge, string(carrier.BodyTooLarge)},
-		timeout:   &rejection{http.StatusRequestTimeout, "bodyTimeout"},
-		malformed: &rejection{http.StatusBadRequest, "malformedBody"},
+		tooLarge:  &rejection{http.StatusRequestEntityTooLarge, string(carrier.BodyTooLarge), 0},
+		timeout:   &rejection{http.StatusRequestTimeout, "bodyTimeout", 0},
+		malformed: &rejection{http.StatusBadRequest, "malformedBody", 0},
 	}
 )
 
+// memoryRetryAfter is how long a caller should wait for whose request there is no memory.
+const memoryRetryAfter = 500 * time.Millisecond
+
+var memoryRejection = &rejection{http.StatusServiceUnavailable, string(carrier.MemoryFull), memoryRetryAfter}
+
 // readError translates an error of reading a part of a request: to a *rejection if the
 // caller gets a response, and to the error itself if the connection has failed.
 func readError(err error, r rejections) error {
+	var rejected *rejection
 	switch {
-	case errors.Is(err, errReadLimit):
+	case errors.As(err, &rejected):
+		return rejected
+	case errors.Is(err, accountant.ErrFull):
+		return memoryRejection
+	case errors.Is(err, errReadLimit), errors.Is(err, accountant.ErrTooLong):
 		return r.tooLarge
 	case isTimeout(err):
 		return r.timeout
@@ -303,17 +321,17 @@
 
 // respond handles one call and writes its response after the previous call's.
 func (c *conn) respond(ctx context.Context, t task) {
-	response := stoppingResponse
-	if !c.acceptor.stopping.Load() || c.acceptor.handler.Nested(t.call) {
-		response = c.acceptor.handler.Handle(ctx, t.call, t.received)
-	}
+	response := c.handle(ctx, t)
+	t.memory.Take(accountant.AnswerSizes.Of(answerCost(response.Answer)), answerCost(response.Answer))
 	<-t.previous
 	if last, open := c.state.beginResponse(t.last, c.acceptor.stopping.Load()); open {
 		c.write(t.call, response, last)
 	} else {
 		c.acceptor.observe.Unanswered(t.call, ConnectionEnded)
 	}
+	t.memory.Release()
 	c.state.settle(c.raw)
+	c.raw.AddBusy(-1)
 	c.acceptor.inFlight.Add(-1)
 	<-c.pipelined
 	close(t.written)
@@ -351,11 +369,7 @@
 
 // closeWrite closes the write side of the connection. The read side stays open for
 // lingerTime.
-func (c *conn) closeWrite() {
-	if tcp, ok := c.raw.(*net.TCPConn); ok {
-		_ = tcp.CloseWrite()
-	}
-}
+func (c *conn) closeWrite() { _ = c.raw.CloseWrite() }
 
 // finish closes the connection after a read error. A *rejection is first written as a
 // response, after the responses to the previous calls.
@@ -367,7 +381,7 @@
 	}
 	<-previous
 	if _, open := c.state.beginResponse(true, false); open {
-		c.write(carrier.Call{Method: http.MethodGet}, Response{Refused: true, Status: r.status, Reason: r.reason}, true)
+		c.write(carrier.Call{Method: http.MethodGet}, Response{Refused: true, Status: r.status, Reason: r.reason, RetryAfter: r.retryAfter}, true)
 	}
 	c.lingerAndClose()
 }
--- a/internal/proxy/acceptor/conn_test.go
+++ b/internal/proxy/acceptor/conn_test.go
@@ -13,6 +13,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/tamarackscale/tamarackscale/internal/kernel/accountant"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/acceptor"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/router"
@@ -75,7 +76,7 @@
 			l := singleListener{conns: make(chan net.Conn, 1)}
 			l.conns <- far
 			close(l.conns)
-			a := acceptor.New(platform.HTTP{}, handler, silent{})
+			a := acceptor.New(platform.HTTP{}, handler, silent{}, accountant.New(0))
 			go a.Serve(l)
 			run(a, &caller{Conn: near, reader: bufio.NewReader(near)})
 			So(near.Close(), ShouldBeNil)
@@ -219,7 +220,7 @@
 					l := singleListener{conns: make(chan net.Conn, 1)}
 					l.conns <- wrap(far)
 					close(l.conns)
-					a = acceptor.New(dialect, slowHandler{time: time.Second}, silent{})
+					a = acceptor.New(dialect, slowHandler{time: time.Second}, silent{}, accountant.New(0))
 					go a.Serve(l)
 					c := &caller{Conn: near, reader: bufio.NewReader(near)}
 					send(c, "GET /one HTTP/1.1\r\nHost: h\r\n\r\n")
--- a/internal/proxy/acceptor/edge_test.go
+++ b/internal/proxy/acceptor/edge_test.go
@@ -14,6 +14,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/tamarackscale/tamarackscale/internal/kernel/accountant"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/acceptor"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/router"
@@ -73,7 +74,7 @@
 			close(l.conns)
 			h := untilGone{running: &atomic.Int64{}}
 			h.time = time.Second
-			a := acceptor.New(platform.HTTP{}, h, silent{})
+			a := acceptor.New(platform.HTTP{}, h, silent{}, accountant.New(0))
 			go a.Serve(l)
 			c := &caller{Conn: near, reader: bufio.NewReader(near)}
 			send(c, "GET /first HTTP/1.1\r\nHost: h\r\n\r\n"+strings.Repeat("GET /more HTTP/1.1\r\nHost: h\r\n\r\n", 64))
@@ -142,7 +143,7 @@
 			stalled := &atomic.Bool{}
 			l.conns <- stalledConn{far, stalled}
 			close(l.conns)
-			a := acceptor.New(platform.HTTP{}, slowHandler{}, silent{})
+			a := acceptor.New(platform.HTTP{}, slowHandler{}, silent{}, accountant.New(0))
 			stalled.Store(true)
 			go a.Serve(l)
 			c := &caller{Conn: near, reader: bufio.NewReader(near)}
--- a/internal/proxy/acceptor/interleaving_test.go
+++ b/internal/proxy/acceptor/interleaving_test.go
@@ -17,6 +17,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/tamarackscale/tamarackscale/internal/kernel/accountant"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/acceptor"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
 )
@@ -91,7 +92,7 @@
 			close(l.conns)
 			lost := &causes{count: map[acceptor.Cause]int{}}
 			var decoded atomic.Int64
-			a := acceptor.New(dialectHook{decoding: func() { decoded.Add(1); dawdle() }}, variedHandler{}, lost)
+			a := acceptor.New(dialectHook{decoding: func() { decoded.Add(1); dawdle() }}, variedHandler{}, lost, accountant.New(0))
 			go a.Serve(l)
 			go sendVaried(rand.New(rand.NewPCG(seed, 1)), near)
 			stopped := make(chan time.Duration, 1)
@@ -159,7 +160,7 @@
 					a.CloseIdle()
 				}
 				h := countingHandler{slowHandler: slowHandler{time: time.Second}, nested: nested, handled: &atomic.Int64{}}
-				a = acceptor.New(dialectHook{decoding: stop}, h, silent{})
+				a = acceptor.New(dialectHook{decoding: stop}, h, silent{}, accountant.New(0))
 				go a.Serve(l)
 				c := &caller{Conn: near, reader: bufio.NewReader(near)}
 				_, _ = io.WriteString(c, "GET /one HTTP/1.1\r\nHost: h\r\n\r\n")
--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/tamarackscale/tamarackscale/internal/kernel/accountant"
 	"github.com/tamarackscale/tamarackscale/internal/kernel/dialer"
 	"github.com/tamarackscale/tamarackscale/internal/observe/reporter"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/acceptor"
@@ -56,6 +57,7 @@
 	// the process among those that run on the VM one after another.
 	incarnation int64
 
+	account    *accountant.Account
 	telemetry  *reporter.Reporter
 	executor   *executor.Executor
 	forwarder  *forwarder.Forwarder
@@ -101,10 +103,12 @@
 	}
 	p.settings.Store(s)
 	p.sequence.Store(1)
+	p.account = accountant.New(int64(s.Limits.Memory) << 20)
 	p.telemetry = reporter.New(s.Node.ID, s.Node.AvailabilityZone, config.Output)
+	p.telemetry.ObserveAccount(p.account)
 	p.executor = executor.New(executor.Config{
 		Dialect: platform.HTTP{}, Dial: p.network.Dial, DrainTime: p.bounds.DrainTime.Std(), Changed: p.publishSelf,
-		Observe: p.telemetry, Restarted: !s.FirstStart,
+		Observe: p.telemetry, Restarted: !s.FirstStart, Account: p.account,
 		Admit: func(kind string, rank int, now time.Time) (time.Duration, bool) {
 			return p.dispatcher.Admit(kind, rank, now)
 		},
@@ -115,6 +119,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "register RPC methods for other nodes")
 	}
+	p.receiver.UseAccount(p.account)
 	p.buildStoreClients(s)
 	p.dispatcher = dispatcher.New(dispatcher.Config{
 		Node: s.Node.ID, Service: func() string { return p.settings.Load().Upstream.Service },
@@ -124,7 +129,7 @@
 			Ratio: p.bounds.RetryRatio, Slack: p.bounds.RetrySlack, Window: p.bounds.RetryWindow.Std(),
 		},
 	})
-	p.acceptor = acceptor.New(platform.HTTP{}, p.dispatcher, p.telemetry)
+	p.acceptor = acceptor.New(platform.HTTP{}, p.dispatcher, p.telemetry, p.account)
 	p.telemetry.OnVersion(p.subscriber.Hint)
 	p.forwarder.OnUnresponsive(func(address string) {
 		p.dispatcher.WithBalancer(func(b *balancer.Balancer) { b.Suspect(address, time.Now()) })
@@ -183,16 +188,17 @@
 	if err != nil {
 		return err
 	}
-	go p.receiver.Serve(peers)
-	go p.acceptor.Serve(callers)
-	p.control = p.serveHTTP(control, platform.ControlHandler(p))
-	p.serveHTTP(readiness, platform.ReadinessHandler(p.ready))
+	parts := accountant.Divide(s.Limits.Descriptors)
+	go p.receiver.Serve(p.account.Listen(peers, "peers", parts.Peers, ""))
+	go p.acceptor.Serve(p.account.Listen(callers, "callers", parts.Callers, connectionRefusal()))
+	p.control = p.serveHTTP(p.account.Listen(control, "control", parts.Small, ""), platform.ControlHandler(p))
+	p.serveHTTP(p.account.Listen(readiness, "readiness", parts.Small, ""), platform.ReadinessHandler(p.ready))
 	if s.Listen.Metrics != "" {
 		metrics, err := p.listen(s.Listen.Metrics)
 		if err != nil {
 			return err
 		}
-		p.serveHTTP(metrics, p.telemetry.Handler())
+		p.serveHTTP(p.account.Listen(metrics, "metrics", parts.Small, ""), p.telemetry.Handler())
 	}
 	go p.subscriber.Run(ctx)
 	go p.finder.Run(ctx)
@@ -204,18 +210,6 @@
 	return nil
 }
 
-// httpServerTimeout is the idle and header timeout of connections from the platform and
-// the upstream.
-const httpServerTimeout = 30 * time.Second
-
-func (p *Proxy) serveHTTP(l net.Listener, handler http.Handler) *http.Server {
-	server := &http.Server{Handler: handler, IdleTimeout: httpServerTimeout, ReadHeaderTimeout: httpServerTimeout}
-	p.servers = append(p.servers, server)
-	// Serve returns when Close closes the server.
-	go func() { _ = server.Serve(l) }()
-	return server
-}
-
 func (p *Proxy) listen(address string) (net.Listener, error) {
 	l, err := p.network.Listen(address)
 	if err != nil {
--- a/internal/proxy/carrier/carrier.go
+++ b/internal/proxy/carrier/carrier.go
@@ -129,6 +129,10 @@
 	UrgentFirst Reason = "urgentFirst"
 	// BodyTooLarge: the request's body exceeds its limit.
 	BodyTooLarge Reason = "bodyTooLarge"
+	// MemoryFull: the memory for requests like this one is in use.
+	MemoryFull Reason = "memoryFull"
+	// ConnectionLimit: as many connections as the node takes are open.
+	ConnectionLimit Reason = "connectionLimit"
 )
 
 // Result is the result of one attempt or of the whole call.
--- a/internal/proxy/executor/dialect.go
+++ b/internal/proxy/executor/dialect.go
@@ -46,8 +46,9 @@
 	Draining bool
 	// Fields holds the header fields that are forwarded to the caller.
 	Fields []carrier.Field
-	// Body must be closed.
-	Body io.ReadCloser
+	// Body must be closed. Length is its length in bytes, negative if it is not declared.
+	Body   io.ReadCloser
+	Length int64
 }
 
 // Dialect encodes and decodes the protocol between a node and its upstream.
--- a/internal/proxy/executor/exchange.go
+++ b/internal/proxy/executor/exchange.go
@@ -87,17 +87,23 @@
 // receive reads answers and discards those to other calls until the answer to this
 // call arrives. It also reports whether the connection can be reused.
 func (e *Executor) receive(c *connection, request UpstreamRequest) (exchangeResult, bool) {
+	held := e.memory.account.Open(nil)
+	defer held.Release()
 	for range maxForeignAnswers {
+		held.Release()
 		c.wire.Remaining = maxHeadBytes
 		if _, err := c.reader.Peek(1); err != nil {
 			return exchangeResult{Result: carrier.Fail(carrier.AnswerBroken), stale: !c.fresh}, false
 		}
+		if !e.memory.reserveHead(&held, c.reader) {
+			return exchangeResult{Result: carrier.Fail(carrier.AnswerBroken)}, false
+		}
 		head, err := e.dialect.DecodeAnswer(c.reader, request.Call.Method)
 		if err != nil {
 			return exchangeResult{Result: carrier.Fail(carrier.AnswerBroken)}, false
 		}
 		c.wire.Remaining = maxWireBytes
-		body, err := e.memory.readAll(head.Body)
+		body, err := e.memory.readAll(&held, head)
 		if err != nil {
 			// The connection ends with the answer; closing the body would read on.
 			return exchangeResult{Result: carrier.Fail(carrier.AnswerBroken)}, false
--- a/internal/proxy/executor/executor.go
+++ b/internal/proxy/executor/executor.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/tamarackscale/tamarackscale/internal/kernel/accountant"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/balancer"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/queuer"
@@ -48,6 +49,8 @@
 	// Changed is called when the published state of the upstream has changed.
 	Changed func()
 	Observe Observer
+	// Account is the account from which memory for answers is reserved.
+	Account *accountant.Account
 	// Restarted reports whether a former process of the node may have sent calls to the
 	// upstream.
 	Restarted bool
@@ -69,7 +72,7 @@
 	config  Config
 	dialect Dialect
 	pool    *pool
-	memory  memoryLimiter
+	memory  *answerMemory
 
 	mu      sync.Mutex
 	tracker *tracker.Tracker
@@ -88,8 +91,11 @@
 
 // New returns an executor without an upstream.
 func New(config Config) *Executor {
+	if config.Account == nil {
+		config.Account = accountant.New(0)
+	}
 	return &Executor{
-		config: config, dialect: config.Dialect, pool: newPool(config.Dial), tracker: tracker.New(), queue: queuer.New(),
+		config: config, dialect: config.Dialect, memory: &answerMemory{account: config.Account}, pool: newPool(config.Dial), tracker: tracker.New(), queue: queuer.New(),
 		running: map[string]*running{}, unproven: config.Restarted,
 	}
 }
--- a/internal/proxy/executor/limiter.go
+++ b/internal/proxy/executor/limiter.go
@@ -1,9 +1,13 @@
 package executor
 
 import (
+	"bufio"
+	"bytes"
 	"errors"
 	"io"
 	"sync/atomic"
+
+	"github.com/tamarackscale/tamarackscale/internal/kernel/accountant"
 )
 
 const (
@@ -11,29 +15,70 @@
 	maxHeadBytes = 64 << 10
 	// maxAnswerBytes bounds the body of one answer.
 	maxAnswerBytes = 16 << 20
-	// maxAnswersBytes bounds the bodies of all answers that are being read. Without it, an
-	// upstream that sends bytes without end on all of its connections would exhaust the
-	// memory of a small VM.
+	// maxAnswersBytes bounds the memory of all answers that are being read, also if that of the process is
+	// not known. Without it, an upstream that sends bytes without end on all of its connections would
+	// exhaust the memory of a small VM.
 	maxAnswersBytes = 32 << 20
 	// maxWireBytes bounds a body on the wire, including the framing of its chunks. Bodies in
 	// chunks of a few bytes are several times as long on the wire.
 	maxWireBytes = 4 * maxAnswerBytes
 )
 
+const (
+	// lineBytes is what one line of a head costs beyond its bytes.
+	lineBytes = 256
+	// shortestLine is the shortest line of a head in bytes.
+	shortestLine = 4
+	// maxHeadCost is the memory of the largest head, in the shortest lines.
+	maxHeadCost = maxHeadBytes + maxHeadBytes/shortestLine*lineBytes
+)
+
 // errAnswerTooLarge reports that an answer, or all answers together, exceeded a limit.
 var errAnswerTooLarge = errors.New("answer exceeds its size limit")
 
-// memoryLimiter bounds the bytes that all its readers together have read and not released.
-// It is safe for concurrent use.
-type memoryLimiter struct{ used atomic.Int64 }
+// answerMemory reserves the memory of answers that are being read. It is safe for concurrent use.
+type answerMemory struct {
+	account *accountant.Account
+	// used is the number of bytes of bodies that are being read.
+	used atomic.Int64
+}
 
-// readAll reads to the end of r. It returns errAnswerTooLarge if r has more than
-// maxAnswerBytes or all concurrent reads together more than maxAnswersBytes.
-func (m *memoryLimiter) readAll(r io.Reader) ([]byte, error) {
-	counted := &memoryReader{Reader: io.LimitReader(r, maxAnswerBytes+1), limiter: m}
+// reserveHead reserves the memory of the head that is to be read next. The cost of one that does not fit
+// into the buffer of the reader, or that follows an interim answer, is not known before it is parsed: it
+// counts as the largest.
+func (m *answerMemory) reserveHead(held *accountant.Reservation, r *bufio.Reader) bool {
+	cost := headCost(r)
+	return held.Grow(accountant.AnswerSizes.Of(cost), cost)
+}
+
+func headCost(r *bufio.Reader) int64 {
+	for size := max(r.Buffered(), 1); size <= r.Size(); size = max(r.Buffered(), size+1) {
+		text, err := r.Peek(size)
+		if bytes.HasPrefix(text, []byte("HTTP/1.1 1")) {
+			break
+		}
+		if end := bytes.Index(text, []byte("\r\n\r\n")); end >= 0 {
+			return int64(end + bytes.Count(text[:end], []byte("\n"))*lineBytes)
+		}
+		if err != nil {
+			// Reading the head fails too.
+			return int64(len(text))
+		}
+	}
+	return maxHeadCost
+}
+
+// readAll reads the body of an answer. It returns errAnswerTooLarge if that has more than maxAnswerBytes or
+// there is no memory for it.
+func (m *answerMemory) readAll(held *accountant.Reservation, head Head) ([]byte, error) {
+	declared := head.Length
+	if declared < 0 {
+		declared = -1
+	}
+	counted := &memoryReader{Reader: head.Body, memory: m}
 	defer func() { m.used.Add(-counted.read) }()
-	data, err := io.ReadAll(counted)
-	if err == nil && len(data) > maxAnswerBytes {
+	data, err := held.ReadAll(counted, accountant.AnswerSizes, declared, maxAnswerBytes)
+	if errors.Is(err, accountant.ErrTooLong) || errors.Is(err, accountant.ErrFull) {
 		err = errAnswerTooLarge
 	}
 	return data, err
@@ -42,15 +87,15 @@
 // memoryReader counts the bytes read from one reader.
 type memoryReader struct {
 	io.Reader
-	limiter *memoryLimiter
-	read    int64
+	memory *answerMemory
+	read   int64
 }
 
 // Read implements io.Reader.
 func (r *memoryReader) Read(b []byte) (int, error) {
 	n, err := r.Reader.Read(b)
 	r.read += int64(n)
-	if r.limiter.used.Add(int64(n)) > maxAnswersBytes {
+	if r.memory.used.Add(int64(n)) > maxAnswersBytes {
 		return n, errAnswerTooLarge
 	}
 	return n, err
--- /dev/null
+++ b/internal/proxy/forwarder/accounted.go
@@ -0,0 +1,134 @@
+package forwarder
+
+import (
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/tamarackscale/tamarackscale/internal/kernel/accountant"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/coder"
+)
+
+const (
+	// fieldBytes is what a field of a call costs beyond its bytes in a message.
+	fieldBytes = 96
+	// replyRetention is how long the answer in a reply stays in memory after it was sent, for a sender that
+	// sends the attempt again.
+	replyRetention = 2 * time.Second
+)
+
+// UseAccount makes messages of other nodes reserve memory from the account. It must be called before Serve.
+func (r *Receiver) UseAccount(a *accountant.Account) { r.account = a }
+
+// newCodec returns the codec of the server side of a connection.
+func (r *Receiver) newCodec(conn net.Conn) rpc.ServerCodec {
+	counted, ok := conn.(*accountant.Conn)
+	if !ok || r.account == nil {
+		return coder.NewServerCodec(&boundedConn{Conn: conn, timeout: replyWriteTimeout}, &r.pending)
+	}
+	c := &accountedCodec{account: r.account, conn: counted, messages: map[uint64]*message{}}
+	c.current = r.account.Open(counted)
+	bounded := &boundedConn{Conn: &accountedConn{Conn: counted, codec: c}, timeout: replyWriteTimeout}
+	c.ServerCodec = coder.NewServerCodec(bounded, &r.pending)
+	return c
+}
+
+// accountedConn reserves memory for what is read of a message.
+type accountedConn struct {
+	*accountant.Conn
+	codec *accountedCodec
+}
+
+// Read implements net.Conn. It returns accountant.ErrFull if there is no memory for the message, which ends
+// the connection.
+func (c *accountedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if !c.codec.grow(int64(n)) {
+		return n, accountant.ErrFull
+	}
+	return n, err
+}
+
+// accountedCodec is the codec of a connection whose messages reserve memory until their reply is written.
+// Messages up to accountant.SmallBytes, such as those of the members, cost nothing beyond their connection.
+type accountedCodec struct {
+	rpc.ServerCodec
+	account *accountant.Account
+	conn    *accountant.Conn
+	// current and size are what the message being read holds and has read.
+	current accountant.Reservation
+	size    int64
+
+	// mu guards messages, those without a reply by sequence number.
+	mu       sync.Mutex
+	messages map[uint64]*message
+	sequence uint64
+}
+
+// message is what the messages with a sequence number hold. A faulty sender may use one more than once.
+type message struct {
+	memory accountant.Reservation
+	count  int
+}
+
+// grow reserves memory for n more bytes of the message being read.
+func (c *accountedCodec) grow(n int64) bool {
+	c.size += n
+	if c.size <= accountant.SmallBytes {
+		return true
+	}
+	return c.current.Grow(accountant.Messages, n)
+}
+
+// ReadRequestHeader implements rpc.ServerCodec.
+func (c *accountedCodec) ReadRequestHeader(r *rpc.Request) error {
+	c.size = 0
+	err := c.ServerCodec.ReadRequestHeader(r)
+	c.sequence = r.Seq
+	if err != nil {
+		c.current.Release()
+	}
+	return err
+}
+
+// ReadRequestBody implements rpc.ServerCodec.
+func (c *accountedCodec) ReadRequestBody(body any) error {
+	err := c.ServerCodec.ReadRequestBody(body)
+	if args, ok := body.(*RunArgs); ok && err == nil {
+		c.current.Take(accountant.Messages, fieldBytes*int64(len(args.Job.Call.Fields)))
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.conn.AddBusy(1)
+	m := c.messages[c.sequence]
+	if m == nil {
+		m = &message{memory: c.account.Open(c.conn)}
+		c.messages[c.sequence] = m
+	}
+	m.count++
+	m.memory.Absorb(&c.current)
+	return err
+}
+
+// WriteResponse implements rpc.ServerCodec. net/rpc calls it once for each header that was read.
+func (c *accountedCodec) WriteResponse(r *rpc.Response, body any) error {
+	err := c.ServerCodec.WriteResponse(r, body)
+	if reply, ok := body.(*RunReply); ok && len(reply.Result.Answer.Body) > accountant.SmallBytes {
+		size := int64(cap(reply.Result.Answer.Body))
+		c.account.Take(accountant.Answers, size)
+		time.AfterFunc(replyRetention, func() { c.account.Release(accountant.Answers, size) })
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m := c.messages[r.Seq]
+	if m == nil {
+		return err
+	}
+	c.conn.AddBusy(-1)
+	if m.count--; m.count == 0 {
+		delete(c.messages, r.Seq)
+		m.memory.Release()
+	}
+	return err
+}
--- a/internal/proxy/forwarder/receiver.go
+++ b/internal/proxy/forwarder/receiver.go
@@ -8,8 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/tamarackscale/tamarackscale/internal/kernel/accountant"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/balancer"
-	"github.com/tamarackscale/tamarackscale/internal/proxy/coder"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/executor"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/fencer"
 )
@@ -40,6 +40,8 @@
 	executor *executor.Executor
 	node     Node
 	server   *rpc.Server
+	// account is where messages reserve memory; nil if they do not.
+	account *accountant.Account
 	// pending is the number of messages of which a byte has arrived and whose reply is not
 	// written yet.
 	pending atomic.Int64
@@ -72,7 +74,7 @@
 			return
 		}
 		go func() {
-			r.server.ServeCodec(coder.NewServerCodec(&boundedConn{Conn: conn, timeout: replyWriteTimeout}, &r.pending))
+			r.server.ServeCodec(r.newCodec(conn))
 			r.untrack(conn)
 		}()
 	}
--- a/internal/proxy/runner/runner.go
+++ b/internal/proxy/runner/runner.go
@@ -36,6 +36,17 @@
 	reloadInterval = 2 * time.Second
 )
 
+// programMegabytes is the memory of the process that the Go runtime does not count, mostly the pages of
+// the program, with a margin for what it allocates past its limit.
+const programMegabytes = 20
+
+// limitMemory makes the garbage collector keep the process within the given memory; 0 is no limit.
+func limitMemory(megabytes int) {
+	if megabytes > 0 {
+		debug.SetMemoryLimit(int64(max(megabytes-programMegabytes, 1)) << 20)
+	}
+}
+
 // Options are the proxy's command-line flags.
 type Options struct {
 	Settings string `env:"TAMARACKSCALE_BOOT" required:"" type:"path" help:"YAML file with the proxy's settings."`
@@ -57,6 +68,7 @@
 		}
 		return ExitFailure
 	}
+	limitMemory(settings.Limits.Memory)
 	proxy, err := assembler.New(assembler.Config{Settings: settings, Output: output})
 	if err == nil {
 		err = proxy.Start(context.Background())
