unpacker, forwarder: byte strings of messages take memory as they arrive

Cause: a byte string was allocated when up to 17 MiB of it were declared, and the buffered reader of messages drops an error that comes with data, so that a message without memory was read to its end. Change: byte strings grow by doubling up to their declared length, fields of a message are at most 131,072, and a connection without memory for a message returns no more data.

--- a/internal/proxy/carrier/carrier.go
+++ b/internal/proxy/carrier/carrier.go
@@ -25,9 +25,12 @@
 // Fields is a list of header fields.
 type Fields []Field
 
+// maxFields bounds the fields that a message may declare. A head of 64 KB has less than 22,000.
+const maxFields = 128 << 10
+
 // DecodeMsg implements msgp.Decodable.
 func (f *Fields) DecodeMsg(reader *msgp.Reader) (err error) {
-	*f, err = unpacker.DecodeArray(reader, *f)
+	*f, err = unpacker.DecodeBoundedArray(reader, *f, maxFields)
 	return err
 }
 
@@ -50,7 +53,7 @@
 	// Fields holds the header fields without hop-by-hop fields and without those
 	// that the system sets itself.
 	Fields Fields
-	Body   []byte
+	Body   unpacker.Bytes
 	// Timeout is how long the caller waits; zero if it did not specify a timeout.
 	Timeout time.Duration
 	// Parent is the ID of the call on whose behalf an upstream makes this one; empty
@@ -62,7 +65,7 @@
 type Answer struct {
 	Status int
 	Fields Fields
-	Body   []byte
+	Body   unpacker.Bytes
 }
 
 // Outcome is what is known about the execution of a call.
--- a/internal/proxy/carrier/carrier_gen.go
+++ b/internal/proxy/carrier/carrier_gen.go
@@ -28,7 +28,7 @@
 		err = msgp.WrapError(err, "Fields")
 		return
 	}
-	z.Body, err = dc.ReadBytes(z.Body)
+	err = z.Body.DecodeMsg(dc)
 	if err != nil {
 		err = msgp.WrapError(err, "Body")
 		return
@@ -53,7 +53,7 @@
 		err = msgp.WrapError(err, "Fields")
 		return
 	}
-	err = en.WriteBytes(z.Body)
+	err = z.Body.EncodeMsg(en)
 	if err != nil {
 		err = msgp.WrapError(err, "Body")
 		return
@@ -63,7 +63,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Answer) Msgsize() (s int) {
-	s = 1 + msgp.IntSize + z.Fields.Msgsize() + msgp.BytesPrefixSize + len(z.Body)
+	s = 1 + msgp.IntSize + z.Fields.Msgsize() + z.Body.Msgsize()
 	return
 }
 
@@ -104,7 +104,7 @@
 		err = msgp.WrapError(err, "Fields")
 		return
 	}
-	z.Body, err = dc.ReadBytes(z.Body)
+	err = z.Body.DecodeMsg(dc)
 	if err != nil {
 		err = msgp.WrapError(err, "Body")
 		return
@@ -154,7 +154,7 @@
 		err = msgp.WrapError(err, "Fields")
 		return
 	}
-	err = en.WriteBytes(z.Body)
+	err = z.Body.EncodeMsg(en)
 	if err != nil {
 		err = msgp.WrapError(err, "Body")
 		return
@@ -174,7 +174,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Call) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.ID) + msgp.StringPrefixSize + len(z.Method) + msgp.StringPrefixSize + len(z.Target) + msgp.StringPrefixSize + len(z.Host) + z.Fields.Msgsize() + msgp.BytesPrefixSize + len(z.Body) + msgp.DurationSize + msgp.StringPrefixSize + len(z.Parent)
+	s = 1 + msgp.StringPrefixSize + len(z.ID) + msgp.StringPrefixSize + len(z.Method) + msgp.StringPrefixSize + len(z.Target) + msgp.StringPrefixSize + len(z.Host) + z.Fields.Msgsize() + z.Body.Msgsize() + msgp.DurationSize + msgp.StringPrefixSize + len(z.Parent)
 	return
 }
 
@@ -339,7 +339,7 @@
 		err = msgp.WrapError(err, "Answer", "Fields")
 		return
 	}
-	z.Answer.Body, err = dc.ReadBytes(z.Answer.Body)
+	err = z.Answer.Body.DecodeMsg(dc)
 	if err != nil {
 		err = msgp.WrapError(err, "Answer", "Body")
 		return
@@ -389,7 +389,7 @@
 		err = msgp.WrapError(err, "Answer", "Fields")
 		return
 	}
-	err = en.WriteBytes(z.Answer.Body)
+	err = z.Answer.Body.EncodeMsg(en)
 	if err != nil {
 		err = msgp.WrapError(err, "Answer", "Body")
 		return
@@ -409,6 +409,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Result) Msgsize() (s int) {
-	s = 1 + msgp.Uint8Size + msgp.StringPrefixSize + len(string(z.Reason)) + 1 + msgp.IntSize + z.Answer.Fields.Msgsize() + msgp.BytesPrefixSize + len(z.Answer.Body) + msgp.DurationSize + msgp.BoolSize
+	s = 1 + msgp.Uint8Size + msgp.StringPrefixSize + len(string(z.Reason)) + 1 + msgp.IntSize + z.Answer.Fields.Msgsize() + z.Answer.Body.Msgsize() + msgp.DurationSize + msgp.BoolSize
 	return
 }
--- a/internal/proxy/forwarder/accounted.go
+++ b/internal/proxy/forwarder/accounted.go
@@ -38,14 +38,19 @@
 type accountedConn struct {
 	*accountant.Conn
 	codec *accountedCodec
+	// full is set when there was no memory for a message. The connection ends with it.
+	full bool
 }
 
-// Read implements net.Conn. It returns accountant.ErrFull if there is no memory for the message, which ends
-// the connection.
+// Read implements net.Conn. If there is no memory for the message, it returns accountant.ErrFull and nothing
+// of what was read, then and afterwards: a buffered reader may drop an error that comes with data.
 func (c *accountedConn) Read(b []byte) (int, error) {
+	if c.full {
+		return 0, accountant.ErrFull
+	}
 	n, err := c.Conn.Read(b)
-	if !c.codec.grow(int64(n)) {
-		return n, accountant.ErrFull
+	if c.full = !c.codec.grow(int64(n)); c.full {
+		return 0, accountant.ErrFull
 	}
 	return n, err
 }
