--- a/internal/kernel/accountant/accountant.go
+++ b/internal/kernel/accountant/accountant.go
@@ -21,6 +21,8 @@
 	Connections Purpose = iota
 	// Heads is parsed heads of requests.
 	Heads
+	// SmallHeads is their first kilobytes. Large heads can't take this share.
+	SmallHeads
 	// Bodies is bodies of requests beyond SmallBytes, until their response is written.
 	Bodies
 	// SmallBodies is bodies of requests up to SmallBytes. Large bodies can't take this share.
@@ -31,6 +33,8 @@
 	Answers
 	// SmallAnswers is answers up to SmallBytes. Large answers can't take this share.
 	SmallAnswers
+	// Urgent is bodies of the most urgent non-idempotent calls for which the other shares have no memory.
+	Urgent
 	purposes
 )
 
@@ -41,6 +45,10 @@
 		return "connections"
 	case Heads:
 		return "heads"
+	case SmallHeads:
+		return "smallHeads"
+	case Urgent:
+		return "urgent"
 	case Bodies:
 		return "bodies"
 	case SmallBodies:
@@ -63,11 +71,11 @@
 // and its own state.
 const BaseBytes = 28 << 20
 
-// fractions of the memory beyond BaseBytes. Their sum leaves a fifth for garbage that is not collected
+// fractions of the memory beyond BaseBytes. Their sum leaves a sixth for garbage that is not collected
 // yet, for stacks and for the fragmentation of the heap. At 184 MB, the memory of the smallest VM, bodies,
 // messages and answers each hold one of 16 MiB.
 var fractions = [purposes]float64{
-	Connections: 0.14, Heads: 0.10, Bodies: 0.17, SmallBodies: 0.05, Messages: 0.12, Answers: 0.165, SmallAnswers: 0.04,
+	Connections: 0.14, Heads: 0.10, SmallHeads: 0.02, Urgent: 0.03, Bodies: 0.17, SmallBodies: 0.05, Messages: 0.12, Answers: 0.165, SmallAnswers: 0.04,
 }
 
 // unlimited is the limit of each share if the memory of the process is unknown.
@@ -242,6 +250,16 @@
 	return true
 }
 
+// GrowFrom reserves n more bytes from the first purpose, or from the second one like Grow. It returns which
+// one it was, and whether the bytes fit.
+func (r *Reservation) GrowFrom(first, second Purpose, n int64) (Purpose, bool) {
+	if r.account.Reserve(first, n) {
+		r.add(first, n)
+		return first, true
+	}
+	return second, r.Grow(second, n)
+}
+
 // Take adds n bytes that are in use already.
 func (r *Reservation) Take(p Purpose, n int64) {
 	r.account.Take(p, n)
--- a/internal/kernel/accountant/accountant_test.go
+++ b/internal/kernel/accountant/accountant_test.go
@@ -82,6 +82,28 @@
 	})
 }
 
+type urgency bool
+
+func (u urgency) IsUrgent() bool { return bool(u) }
+
+// Many clients together must not take what urgent calls need.
+func TestUrgentBodiesKeepReserve(t *testing.T) {
+	Convey("While the shares of bodies are full, an urgent body is read and another is not", t, func() {
+		a := New(184 * megabyte)
+		a.Take(Bodies, a.Usage(Bodies).Limit)
+		a.Take(SmallBodies, a.Usage(SmallBodies).Limit)
+		for _, urgent := range []bool{false, true} {
+			sizes, r := BodySizes, a.Open(nil)
+			sizes.Urgency = urgency(urgent)
+			_, err := r.ReadAll(bytes.NewReader(make([]byte, 100_000)), sizes, -1, megabyte)
+			So(err == nil, ShouldEqual, urgent)
+			r.Release()
+			So(a.Usage(Urgent).Used, ShouldEqual, 0)
+		}
+		So(a.Usage(Bodies).Used, ShouldEqual, a.Usage(Bodies).Limit)
+	})
+}
+
 type zeros struct{}
 
 func (zeros) Read(b []byte) (int, error) {
--- a/internal/kernel/accountant/buffer.go
+++ b/internal/kernel/accountant/buffer.go
@@ -20,7 +20,12 @@
 )
 
 // Sizes are the purposes of small and of large inputs.
-type Sizes struct{ Small, Large Purpose }
+type Sizes struct {
+	Small, Large Purpose
+	// Urgency tells whether an input for which these have no memory may take it from the share Urgent; nil
+	// if it may not.
+	Urgency interface{ IsUrgent() bool }
+}
 
 // The sizes of bodies of requests and of answers.
 var (
@@ -57,48 +62,31 @@
 	if declared > limit {
 		return nil, ErrTooLong
 	}
-	var (
-		data  []byte
-		first [1]byte
-	)
+	b := buffer{memory: r, sizes: sizes, declared: declared, limit: limit}
+	var first [1]byte
 	for {
-		if declared >= 0 && int64(len(data)) == declared {
-			return data, nil
-		}
-		if len(data) < cap(data) {
-			n, err := input.Read(data[len(data):cap(data)])
-			data = data[:len(data)+n]
-			if err != nil {
-				return data, endOf(err, int64(len(data)), declared)
-			}
-			continue
+		if declared >= 0 && int64(len(b.data)) == declared {
+			return b.data, nil
 		}
-		// The buffer grows only if there is more input. A reader may return its last byte with its end.
-		n, end := input.Read(first[:])
-		if n > 0 {
-			var err error
-			if data, err = r.appendFirst(data, first[0], sizes, declared, limit); err != nil {
-				return data, err
+		var (
+			n   int
+			end error
+		)
+		if len(b.data) < cap(b.data) {
+			n, end = input.Read(b.data[len(b.data):cap(b.data)])
+			b.data = b.data[:len(b.data)+n]
+		} else if n, end = input.Read(first[:]); n > 0 {
+			// The buffer grows only if there is more input. A reader may return its last byte with its end.
+			if err := b.append(first[0]); err != nil {
+				return b.data, err
 			}
 		}
 		if end != nil {
-			return data, endOf(end, int64(len(data)), declared)
+			return b.data, endOf(end, int64(len(b.data)), declared)
 		}
 	}
 }
 
-// appendFirst appends a byte to data that fills its buffer.
-func (r *Reservation) appendFirst(data []byte, b byte, sizes Sizes, declared, limit int64) ([]byte, error) {
-	if int64(len(data)) >= limit {
-		return data, ErrTooLong
-	}
-	grown, err := r.grow(data, sizes, nextCapacity(int64(cap(data)), declared, limit))
-	if err != nil {
-		return data, err
-	}
-	return append(grown, b), nil
-}
-
 // endOf returns the error of an input that has ended after n bytes; nil if that is its end.
 func endOf(err error, n, declared int64) error {
 	switch {
@@ -111,13 +99,38 @@
 	}
 }
 
-// grow returns the data in a buffer of the given capacity.
-func (r *Reservation) grow(data []byte, sizes Sizes, capacity int64) ([]byte, error) {
-	if !r.Grow(sizes.Of(capacity), capacity) {
-		return data, ErrFull
+// buffer is an input that is being read. Its capacity is reserved for purpose.
+type buffer struct {
+	memory          *Reservation
+	sizes           Sizes
+	declared, limit int64
+	data            []byte
+	purpose         Purpose
+}
+
+// append appends a byte to data that fills its capacity.
+func (b *buffer) append(last byte) error {
+	if int64(len(b.data)) >= b.limit {
+		return ErrTooLong
+	}
+	former := int64(cap(b.data))
+	capacity := nextCapacity(former, b.declared, b.limit)
+	purpose, ok := b.reserve(capacity)
+	if !ok {
+		return ErrFull
+	}
+	b.data = append(append(make([]byte, 0, capacity), b.data...), last)
+	b.memory.Shrink(b.purpose, former)
+	b.purpose = purpose
+	return nil
+}
+
+// reserve reserves n bytes and returns for which purpose.
+func (b *buffer) reserve(n int64) (Purpose, bool) {
+	purpose := b.sizes.Of(n)
+	if b.memory.Grow(purpose, n) {
+		return purpose, true
 	}
-	former := int64(cap(data))
-	grown := append(make([]byte, 0, capacity), data...)
-	r.Shrink(sizes.Of(former), former)
-	return grown, nil
+	urgent := b.sizes.Urgency != nil && b.sizes.Urgency.IsUrgent()
+	return Urgent, urgent && b.memory.Grow(Urgent, n)
 }
--- a/internal/proxy/acceptor/conn.go
+++ b/internal/proxy/acceptor/conn.go
@@ -63,6 +63,8 @@
 	// head holds the head that was read last, memory what the request being read holds.
 	head   []byte
 	memory accountant.Reservation
+	// request is the one whose body is being read; nil if there is none.
+	request *http.Request
 	// pipelined limits the calls in flight; it holds one element for each.
 	pipelined chan struct{}
 	// work passes calls to the worker.
@@ -191,6 +193,10 @@
 	if request.ContentLength == 0 {
 		return nil, nil
 	}
+	if sizes := accountant.BodySizes; !c.acceptor.account.CanHold(sizes.Of(request.ContentLength), request.ContentLength) {
+		c.acceptor.account.Refuse(sizes.Of(request.ContentLength))
+		return nil, memoryRejection
+	}
 	if strings.EqualFold(request.Header.Get("Expect"), "100-continue") {
 		// An interim response must not fall into the response to an earlier request.
 		<-previous
--- a/internal/proxy/acceptor/input.go
+++ b/internal/proxy/acceptor/input.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/http/httputil"
+	"net/textproto"
 	"sync"
 	"time"
 
@@ -20,7 +21,7 @@
 	// net/http and among the fields of the call. 16 KB of distinct short lines take 200 to 250 bytes a line.
 	LineBytes = 256
 	// headStep is the least memory that is reserved at a time for a head. It suffices for usual heads.
-	headStep = 4 << 10
+	headStep = 8 << 10
 	// maxKeptHead is the largest buffer for heads that a connection keeps.
 	maxKeptHead = 4 << 10
 	// maxTrailerBytes bounds the trailer of a chunked body.
@@ -62,7 +63,7 @@
 		}
 		if cost > reserved {
 			step := max(cost-reserved, headStep)
-			if !c.memory.Grow(accountant.Heads, step) {
+			if !c.growHead(reserved, step) {
 				return nil, accountant.ErrFull
 			}
 			reserved += step
@@ -82,6 +83,27 @@
 	}
 }
 
+// growHead reserves memory for a head. Its first step has a share of its own.
+func (c *conn) growHead(reserved, step int64) bool {
+	if reserved > 0 {
+		return c.memory.Grow(accountant.Heads, step)
+	}
+	_, ok := c.memory.GrowFrom(accountant.SmallHeads, accountant.Heads, step)
+	return ok
+}
+
+// Classifier is implemented by handlers for whose urgent calls a part of the memory is kept.
+type Classifier interface {
+	// IsUrgent reports whether a request is among the most urgent ones and not idempotent.
+	IsUrgent(host, target string) bool
+}
+
+// IsUrgent reports whether the request whose body is being read is urgent.
+func (c *conn) IsUrgent() bool {
+	classifier, ok := c.acceptor.handler.(Classifier)
+	return ok && classifier.IsUrgent(c.request.Host, c.request.RequestURI)
+}
+
 // plausible reports whether a line may be one of a head, so that other input is refused before its end.
 func plausible(line []byte, first bool) bool {
 	if first {
@@ -111,32 +133,53 @@
 	c.limit.Remaining = maxChunkOverhead*limit + readBufferBytes
 	c.raw.Begin()
 	input := &progressing{conn: c, source: c.reader, end: time.Now().Add(bodyTimeout)}
+	sizes := accountant.BodySizes
+	sizes.Urgency, c.request = c, request
+	defer func() { c.request = nil }()
 	if request.ContentLength > 0 {
-		return c.memory.ReadAll(input, accountant.BodySizes, request.ContentLength, limit)
+		return c.memory.ReadAll(input, sizes, request.ContentLength, limit)
 	}
 	input.source = httputil.NewChunkedReader(c.reader)
-	body, err := c.memory.ReadAll(input, accountant.BodySizes, -1, limit)
+	body, err := c.memory.ReadAll(input, sizes, -1, limit)
 	if err != nil {
 		return nil, err
 	}
 	return body, skipTrailer(c.reader)
 }
 
-// skipTrailer reads the lines behind the last chunk, up to the empty one.
+// skipTrailer reads the lines behind the last chunk, up to the empty one. It takes no line that net/http
+// would not: another reader of the same bytes may take it for the begin of the next request.
 func skipTrailer(r *bufio.Reader) error {
-	for read := 0; read <= maxTrailerBytes; {
+	var trailer []byte
+	for len(trailer) <= maxTrailerBytes {
 		line, err := r.ReadSlice('\n')
-		if err != nil {
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull):
+			return bodyRejections.malformed
+		case err != nil:
 			return err
+		case !bytes.HasSuffix(line, []byte("\r\n")):
+			return bodyRejections.malformed
 		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
-			return nil
+		trailer = append(trailer, line...)
+		if len(line) == len("\r\n") {
+			return checkTrailer(trailer)
 		}
-		read += len(line)
 	}
 	return bodyRejections.malformed
 }
 
+// checkTrailer reports a trailer that is not a list of fields.
+func checkTrailer(trailer []byte) error {
+	if len(trailer) == len("\r\n") {
+		return nil
+	}
+	if _, err := textproto.NewReader(bufio.NewReader(bytes.NewReader(trailer))).ReadMIMEHeader(); err != nil {
+		return bodyRejections.malformed
+	}
+	return nil
+}
+
 // progressing reads a body. A read times out if the body has made no progress of progressBytes within
 // progressTime, or at its end.
 type progressing struct {
