node/listener, settings: the account of memory for tamarackscale-node

Change: the servers of the node bound their connections by limits.descriptors and reserve memory for headers and bodies from limits.memory, both new settings of the node (0: no limit of memory, the limit of the process). Heads are bounded at 64 KB instead of 1 MB. Metrics by internal/observe/auditor, for both programs. standin/adversary also checks that the account of the process returns to zero when the clients have gone.

--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -14,6 +14,7 @@
 	"github.com/tamarackscale/tamarackscale/internal/cluster/gossiper"
 	"github.com/tamarackscale/tamarackscale/internal/cluster/merger"
 	"github.com/tamarackscale/tamarackscale/internal/cluster/messenger"
+	"github.com/tamarackscale/tamarackscale/internal/kernel/accountant"
 	"github.com/tamarackscale/tamarackscale/internal/kernel/dialer"
 	"github.com/tamarackscale/tamarackscale/internal/kernel/registrar"
 	"github.com/tamarackscale/tamarackscale/internal/node/administrator"
@@ -244,19 +245,22 @@
 // register creates the servers and registers all services with the micro-kernel.
 func (n *Node) register() error {
 	listen := n.settings.Listen
+	limits := n.settings.Limits
+	account, parts := accountant.New(int64(limits.Memory)<<20), accountant.Divide(limits.Descriptors)
+	n.meter.ObserveAccount(account)
 	n.servers = []*listener.Listener{
 		listener.New(listener.Config{
 			Name: "peerServer", Needs: []string{"distributor", "claimer"}, Listen: n.listen(listen.Peers),
-			IdleTimeout: carrier.ServerIdleTimeout,
-			Handler:     carrier.NewServer(n.executor, n.admitter.Load, n.distributor.ObserveVersion),
+			IdleTimeout: carrier.ServerIdleTimeout, Account: account, Connections: parts.Peers,
+			Handler: carrier.NewServer(n.executor, n.admitter.Load, n.distributor.ObserveVersion),
 		}),
 		listener.New(listener.Config{
 			Name: "callerServer", Needs: []string{"peerServer"}, Listen: n.listen(listen.Callers),
-			IdleTimeout: callerIdleTimeout, Handler: n.router, AfterStop: n.router.Wait,
+			IdleTimeout: callerIdleTimeout, Handler: n.router, AfterStop: n.router.Wait, Account: account, Connections: parts.Callers,
 		}),
 		listener.New(listener.Config{
 			Name: "adminServer", Needs: []string{"administrator"}, Listen: n.listen(listen.Admin),
-			IdleTimeout: callerIdleTimeout, Handler: n.admin,
+			IdleTimeout: callerIdleTimeout, Handler: n.admin, Account: account, Connections: parts.Small,
 		}),
 	}
 	services := []registrar.Service{
--- a/internal/node/listener/listener.go
+++ b/internal/node/listener/listener.go
@@ -3,15 +3,22 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/tamarackscale/tamarackscale/internal/kernel/accountant"
 )
 
-// headerTimeout limits how long reading the header of a request may take.
-const headerTimeout = 10 * time.Second
+const (
+	// headerTimeout limits how long reading the header of a request may take.
+	headerTimeout = 10 * time.Second
+	// maxHeaderBytes bounds a header. net/http makes many times its size of it.
+	maxHeaderBytes = 64 << 10
+)
 
 // Config configures a server.
 type Config struct {
@@ -24,6 +31,10 @@
 	// IdleTimeout is how long an idle connection is kept open.
 	IdleTimeout time.Duration
 	Handler     http.Handler
+	// Account is the account of the process, from which requests reserve memory, and Connections the number
+	// of connections that may be open. Nil and 0 leave both without a bound.
+	Account     *accountant.Account
+	Connections int
 	// AfterStop is called by Stop once the requests in flight have finished or the
 	// context of Stop has ended; it may be nil.
 	AfterStop func()
@@ -37,8 +48,15 @@
 
 // New returns a server that does not listen until Start is called.
 func New(config Config) *Listener {
+	if config.Account == nil {
+		config.Account = accountant.New(0)
+	}
+	if config.Connections <= 0 {
+		config.Connections = math.MaxInt
+	}
 	return &Listener{config: config, server: &http.Server{
-		Handler: config.Handler, IdleTimeout: config.IdleTimeout, ReadHeaderTimeout: headerTimeout,
+		Handler: &accounted{config.Handler, config.Account}, IdleTimeout: config.IdleTimeout,
+		ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}}
 }
 
@@ -55,7 +73,8 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen for %s", l.config.Name)
 	}
-	go func() { _ = l.server.Serve(listener) }()
+	bounded := l.config.Account.Listen(listener, l.config.Name, l.config.Connections, "")
+	go func() { _ = l.server.Serve(bounded) }()
 	return nil
 }
 
--- a/internal/node/runner/runner.go
+++ b/internal/node/runner/runner.go
@@ -41,6 +41,8 @@
 	// more often. A node may use 32 MB, of which the pages of the program, which the
 	// limit does not count, take about 12 MB.
 	softMemoryLimit = 18 << 20
+	// programMegabytes is the memory of the process that the runtime does not count, with a margin.
+	programMegabytes = 20
 )
 
 // Options are the node's command-line flags.
@@ -73,6 +75,9 @@
 	}
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(softMemoryLimit)
+	if limit := settings.Limits.Memory; limit > 0 {
+		debug.SetMemoryLimit(int64(max(limit-programMegabytes, 1)) << 20)
+	}
 	config := assembler.Config{Settings: settings, Output: output}
 	if options.Baseline {
 		config.Discipline, config.Policy = admitter.FirstInFirstOut, picker.Random
--- a/internal/observe/reporter/account.go
+++ b/internal/observe/reporter/account.go
@@ -1,61 +1,9 @@
 package reporter
 
 import (
-	"math"
-
-	"github.com/prometheus/client_golang/prometheus"
-
 	"github.com/tamarackscale/tamarackscale/internal/kernel/accountant"
+	"github.com/tamarackscale/tamarackscale/internal/observe/auditor"
 )
 
-// accountCollector collects the metrics of an account of memory when they are read.
-type accountCollector struct {
-	account                                                      *accountant.Account
-	used, limit, refused, open, connectionLimit, closedForOthers *prometheus.Desc
-}
-
 // ObserveAccount makes the metrics show the use of an account and its refusals.
-func (r *Reporter) ObserveAccount(a *accountant.Account) {
-	describe := func(name, help string, labels ...string) *prometheus.Desc {
-		return prometheus.NewDesc("tamarackscale_"+name, help, labels, nil)
-	}
-	r.registry.MustRegister(&accountCollector{
-		account:         a,
-		used:            describe("memory_used_bytes", "Memory reserved, by purpose.", "purpose"),
-		limit:           describe("memory_limit_bytes", "Memory that may be reserved, by purpose; +Inf without a limit.", "purpose"),
-		refused:         describe("memory_refusals_total", "Requests, messages and connections refused for lack of memory or place, by purpose.", "purpose"),
-		open:            describe("connections", "Open connections, by listener.", "listener"),
-		connectionLimit: describe("connections_limit", "Connections that may be open, by listener.", "listener"),
-		closedForOthers: describe("connections_closed_for_others_total", "Connections without progress that were closed because others needed their memory or place."),
-	})
-}
-
-// Describe implements prometheus.Collector.
-func (c *accountCollector) Describe(descriptions chan<- *prometheus.Desc) {
-	prometheus.DescribeByCollect(c, descriptions)
-}
-
-// Collect implements prometheus.Collector.
-func (c *accountCollector) Collect(metrics chan<- prometheus.Metric) {
-	gauge := func(d *prometheus.Desc, value float64, labels ...string) {
-		metrics <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, value, labels...)
-	}
-	for _, p := range accountant.Purposes() {
-		usage := c.account.Usage(p)
-		gauge(c.used, float64(usage.Used), p.String())
-		gauge(c.limit, limitValue(usage.Limit), p.String())
-		metrics <- prometheus.MustNewConstMetric(c.refused, prometheus.CounterValue, float64(usage.Refused), p.String())
-	}
-	for _, l := range c.account.Listeners() {
-		gauge(c.open, float64(l.Open()), l.Name)
-		gauge(c.connectionLimit, float64(l.Limit()), l.Name)
-	}
-	metrics <- prometheus.MustNewConstMetric(c.closedForOthers, prometheus.CounterValue, float64(c.account.Closed()))
-}
-
-func limitValue(limit int64) float64 {
-	if limit == 0 {
-		return math.Inf(1)
-	}
-	return float64(limit)
-}
+func (r *Reporter) ObserveAccount(a *accountant.Account) { r.registry.MustRegister(auditor.New(a)) }
--- a/internal/settings/loader/loader.go
+++ b/internal/settings/loader/loader.go
@@ -31,6 +31,15 @@
 	Logs        Logs        `yaml:"logs"`
 	Idempotency Idempotency `yaml:"idempotency"`
 	Shutdown    Shutdown    `yaml:"shutdown"`
+	Limits      Limits      `yaml:"limits"`
+}
+
+// Limits are the resources of the VM that the process may use.
+type Limits struct {
+	// Memory is in megabytes; 0 if unknown.
+	Memory int `yaml:"memory"`
+	// Descriptors is the number of open file descriptors; 0 means the limit of the process.
+	Descriptors int `yaml:"descriptors"`
 }
 
 // Node identifies the node.
@@ -138,6 +147,12 @@
 	c.Range("shutdown.grace", s.Shutdown.Grace.Std(), time.Second, 10*time.Minute)
 	checkOperators(c, s.Operators)
 	checkLogs(c, s.Logs)
+	if s.Limits.Memory < 0 {
+		c.Add("limits.memory", "must not be negative")
+	}
+	if s.Limits.Descriptors < 0 {
+		c.Add("limits.descriptors", "must not be negative")
+	}
 }
 
 func checkID(c *collector.Collector, key, id string) {
--- a/standin/adversary/machine_test.go
+++ b/standin/adversary/machine_test.go
@@ -40,6 +40,7 @@
 	callerPort   = 8304
 	controlPort  = 8306
 	storePort    = 8309
+	metricsPort  = 9464
 )
 
 const configuration = `{"version":7,"limits":{"max_header_bytes":65536,"max_body_bytes":16777216,` +
@@ -50,7 +51,7 @@
 const settings = `
 node: {id: vm-1, ip: "%[1]s", availabilityZone: z, linkRate: 1000}
 limits: {memory: %[2]d, descriptors: %[3]d}
-listen: {callers: "%[1]s:8304", readiness: "%[1]s:8302", control: "%[1]s:8306", ports: [7620, 7635]}
+listen: {callers: "%[1]s:8304", readiness: "%[1]s:8302", control: "%[1]s:8306", metrics: "%[1]s:9464", ports: [7620, 7635]}
 platform: {address: "%[1]s:8309"}
 upstream: {service: orders, address: "%[1]s:8301"}
 firstStart: true
@@ -101,6 +102,7 @@
 		load(m)
 		m.settle()
 		m.check(memoryLimit)
+		m.checkReleased()
 		t.Logf("peak of resident memory: %d MB", m.peakMegabytes())
 	})
 }
@@ -144,6 +146,10 @@
 	close(m.upstream.done)
 	_ = m.process.Process.Kill()
 	<-m.exited
+	m.closeClients()
+}
+
+func (m *machine) closeClients() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, c := range m.conns {
@@ -151,6 +157,38 @@
 	}
 }
 
+// checkReleased closes the clients and checks that the account of the process returns to zero. What is
+// not released on one way out would add up until the node refuses everybody.
+func (m *machine) checkReleased() {
+	m.closeClients()
+	held := "no metrics"
+	for deadline := time.Now().Add(patience); held != "" && time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+		held = m.held()
+	}
+	So(held, ShouldBeEmpty)
+}
+
+// held returns the metrics of the memory that is held for requests; empty if there is none.
+func (m *machine) held() string {
+	response, err := http.Get("http://" + m.address(metricsPort) + "/metrics")
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	if err != nil || !bytes.Contains(text, []byte("tamarackscale_memory_used_bytes")) {
+		return "no metrics"
+	}
+	held := ""
+	for line := range strings.Lines(string(text)) {
+		isUse := strings.HasPrefix(line, "tamarackscale_memory_used_bytes{") && !strings.Contains(line, "connections")
+		if isUse && !strings.HasSuffix(line, " 0\n") {
+			held += line
+		}
+	}
+	return held
+}
+
 func (m *machine) address(port int) string { return fmt.Sprintf("%s:%d", m.ip, port) }
 
 // check checks the limits, and that an ordinary request gets an answer.
