accountant: heads, bodies, messages and answers share a pool, and calls and messages count

And three things were not counted: goroutines and contexts of pipelined calls, the growth of a message that is being read, and answers between the executor and their next holder. Change: 0.52 of the memory beyond 28 MB is a pool for large things, of which each purpose may take a part that leaves room for the others. A call reserves 16 KB with its head, a message 8 KB, a message being read twice its bytes, and a large answer counts 50 ms longer at the executor.

--- a/internal/kernel/accountant/accountant.go
+++ b/internal/kernel/accountant/accountant.go
@@ -21,7 +21,7 @@
 	Connections Purpose = iota
 	// Heads is parsed heads of requests.
 	Heads
-	// SmallHeads is their first kilobytes. Large heads can't take this share.
+	// SmallHeads is their first kilobytes with the handling of the call. Large heads can't take this share.
 	SmallHeads
 	// Bodies is bodies of requests beyond SmallBytes, until their response is written.
 	Bodies
@@ -29,6 +29,8 @@
 	SmallBodies
 	// Messages is messages of other nodes beyond SmallBytes, until the reply is written.
 	Messages
+	// SmallMessages is the handling of messages of other nodes. Large messages can't take this share.
+	SmallMessages
 	// Answers is answers beyond SmallBytes that are read from the upstream or wait for their caller.
 	Answers
 	// SmallAnswers is answers up to SmallBytes. Large answers can't take this share.
@@ -55,6 +57,8 @@
 		return "smallBodies"
 	case Messages:
 		return "messages"
+	case SmallMessages:
+		return "smallMessages"
 	case Answers:
 		return "answers"
 	case SmallAnswers:
@@ -71,12 +75,17 @@
 // and its own state.
 const BaseBytes = 28 << 20
 
-// fractions of the memory beyond BaseBytes. Their sum leaves a sixth for garbage that is not collected
-// yet, for stacks and for the fragmentation of the heap. At 184 MB, the memory of the smallest VM, bodies,
-// messages and answers each hold one of 16 MiB.
-var fractions = [purposes]float64{
-	Connections: 0.14, Heads: 0.10, SmallHeads: 0.02, Urgent: 0.03, Bodies: 0.17, SmallBodies: 0.05, Messages: 0.12, Answers: 0.165, SmallAnswers: 0.04,
-}
+// fractions of the memory beyond BaseBytes that are kept for one purpose each. What is large shares
+// poolFraction. The sum leaves a sixth for garbage that is not collected yet, for stacks and for the
+// fragmentation of the heap.
+var fractions = [purposes]float64{Connections: 0.14, SmallHeads: 0.02, SmallBodies: 0.05, SmallMessages: 0.03, SmallAnswers: 0.04, Urgent: 0.03}
+
+const poolFraction = 0.52
+
+// poolFractions bound what one purpose may take of the pool, so that bodies leave room for the messages and
+// answers without which they would not be released. At 184 MB, the memory of the smallest VM, each holds an
+// input of 16 MiB.
+var poolFractions = [purposes]float64{Heads: 0.3, Bodies: 0.75, Messages: 0.5, Answers: 0.5}
 
 // unlimited is the limit of each share if the memory of the process is unknown.
 const unlimited = math.MaxInt64 / 2
@@ -86,12 +95,15 @@
 	limit   int64
 	used    atomic.Int64
 	refused atomic.Int64
-	_       [40]byte
+	// pool is the share that the memory counts in too; nil if there is none.
+	pool *share
+	_    [32]byte
 }
 
 // Account holds the shares. It is safe for concurrent use; its zero value is not usable.
 type Account struct {
 	shares [purposes]share
+	pool   share
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
@@ -111,18 +123,40 @@
 // limits no share.
 func New(memory int64) *Account {
 	a := &Account{conns: map[*Conn]struct{}{}, released: make(chan struct{}, 1)}
+	rest := float64(max(memory-BaseBytes, 0))
+	a.pool.limit = limitOf(memory, poolFraction*rest)
 	for p := range a.shares {
-		a.shares[p].limit = unlimited
-		if memory > 0 {
-			a.shares[p].limit = int64(fractions[p] * float64(max(memory-BaseBytes, 0)))
+		share := &a.shares[p]
+		share.limit = limitOf(memory, (fractions[p]+poolFraction*poolFractions[p])*rest)
+		if poolFractions[p] > 0 {
+			share.pool = &a.pool
 		}
 	}
 	return a
 }
 
+// limitOf returns a limit in bytes; none if the memory of the process is unknown.
+func limitOf(memory int64, limit float64) int64 {
+	if memory <= 0 {
+		return unlimited
+	}
+	return int64(limit)
+}
+
 // Reserve reserves n bytes for a purpose, or none if they do not fit into its share.
 func (a *Account) Reserve(p Purpose, n int64) bool {
 	s := &a.shares[p]
+	if !s.reserve(n) {
+		return false
+	}
+	if s.pool != nil && !s.pool.reserve(n) {
+		s.used.Add(-n)
+		return false
+	}
+	return true
+}
+
+func (s *share) reserve(n int64) bool {
 	if s.used.Add(n) <= s.limit {
 		return true
 	}
@@ -130,15 +164,23 @@
 	return false
 }
 
+// add counts n bytes that are in use, or are not any more if n is negative.
+func (s *share) add(n int64) {
+	s.used.Add(n)
+	if s.pool != nil {
+		s.pool.used.Add(n)
+	}
+}
+
 // Take reserves n bytes of memory that is in use already, even beyond the share.
-func (a *Account) Take(p Purpose, n int64) { a.shares[p].used.Add(n) }
+func (a *Account) Take(p Purpose, n int64) { a.shares[p].add(n) }
 
 // Release releases n bytes that were reserved or taken.
 func (a *Account) Release(p Purpose, n int64) {
 	if n == 0 {
 		return
 	}
-	a.shares[p].used.Add(-n)
+	a.shares[p].add(-n)
 	if a.waiting.Load() > 0 {
 		select {
 		case a.released <- struct{}{}:
@@ -147,10 +189,21 @@
 	}
 }
 
-// Fits reports whether n more bytes fit into the share of a purpose.
-func (a *Account) Fits(p Purpose, n int64) bool {
-	s := &a.shares[p]
-	return s.used.Load()+n <= s.limit
+// competes reports whether a connection holds memory that a reservation for the purpose needs: of that
+// purpose, or of any that shares its pool.
+func (a *Account) competes(c *Conn, p Purpose) bool {
+	if c.held[p].Load() > 0 {
+		return true
+	}
+	if a.shares[p].pool == nil {
+		return false
+	}
+	for other := range a.shares {
+		if a.shares[other].pool != nil && c.held[other].Load() > 0 {
+			return true
+		}
+	}
+	return false
 }
 
 // CanHold reports whether n bytes fit into the share of a purpose when nothing else does.
@@ -204,7 +257,7 @@
 
 // Usage is the use of one share.
 type Usage struct {
-	Purpose Purpose
+	Name string
 	// Used and Limit are in bytes; Limit is 0 if there is none.
 	Used, Limit int64
 	// Refused is the number of refusals.
@@ -212,9 +265,13 @@
 }
 
 // Usage returns the use of a share.
-func (a *Account) Usage(p Purpose) Usage {
-	s := &a.shares[p]
-	u := Usage{Purpose: p, Used: s.used.Load(), Limit: s.limit, Refused: s.refused.Load()}
+func (a *Account) Usage(p Purpose) Usage { return a.shares[p].usage(p.String()) }
+
+// Pool returns the use of the memory that heads, bodies, messages and answers share.
+func (a *Account) Pool() Usage { return a.pool.usage("pool") }
+
+func (s *share) usage(name string) Usage {
+	u := Usage{Name: name, Used: s.used.Load(), Limit: s.limit, Refused: s.refused.Load()}
 	if u.Limit == unlimited {
 		u.Limit = 0
 	}
@@ -273,6 +330,9 @@
 	}
 }
 
+// Holds reports whether anything is held for a purpose.
+func (r *Reservation) Holds(p Purpose) bool { return r.held[p] > 0 }
+
 // Shrink releases n bytes of a purpose.
 func (r *Reservation) Shrink(p Purpose, n int64) {
 	r.add(p, -n)
--- a/internal/kernel/accountant/conn.go
+++ b/internal/kernel/accountant/conn.go
@@ -161,7 +161,7 @@
 	var victim *Conn
 	if now.Sub(a.lastRelief) >= reliefPause {
 		a.lastRelief = now
-		victim = longestStalled(a.conns, now, func(c *Conn) bool { return c.held[p].Load() > 0 })
+		victim = longestStalled(a.conns, now, func(c *Conn) bool { return a.competes(c, p) })
 	}
 	if victim != nil {
 		a.lastClosed[p] = now
--- a/internal/proxy/acceptor/input.go
+++ b/internal/proxy/acceptor/input.go
@@ -20,8 +20,9 @@
 	// LineBytes is what one line of a head costs beyond its bytes: its strings, its place in the map of
 	// net/http and among the fields of the call. 16 KB of distinct short lines take 200 to 250 bytes a line.
 	LineBytes = 256
-	// headStep is the least memory that is reserved at a time for a head. It suffices for usual heads.
-	headStep = 8 << 10
+	// headStep is the least memory that is reserved at a time for a head. It suffices for a usual head, with
+	// the goroutine and the contexts of its call.
+	headStep = 16 << 10
 	// maxKeptHead is the largest buffer for heads that a connection keeps.
 	maxKeptHead = 4 << 10
 	// maxTrailerBytes bounds the trailer of a chunked body.
--- a/internal/proxy/executor/exchange.go
+++ b/internal/proxy/executor/exchange.go
@@ -88,7 +88,7 @@
 // call arrives. It also reports whether the connection can be reused.
 func (e *Executor) receive(c *connection, request UpstreamRequest) (exchangeResult, bool) {
 	held := e.memory.account.Open(nil)
-	defer held.Release()
+	defer e.memory.handOver(&held)
 	for range maxForeignAnswers {
 		held.Release()
 		c.wire.Remaining = maxHeadBytes
--- a/internal/proxy/executor/limiter.go
+++ b/internal/proxy/executor/limiter.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"sync/atomic"
+	"time"
 
 	"github.com/tamarackscale/tamarackscale/internal/kernel/accountant"
 )
@@ -68,6 +69,21 @@
 	return maxHeadCost
 }
 
+// handOverTime is how long a large answer counts as being read after it was. Until then it is counted by
+// whom it was handed to, the connection of its caller or of the other node.
+const handOverTime = 50 * time.Millisecond
+
+// handOver releases what was reserved for reading an answer. Between the release and the count of the
+// next holder, others would take the memory.
+func (m *answerMemory) handOver(held *accountant.Reservation) {
+	if !held.Holds(accountant.Answers) {
+		held.Release()
+		return
+	}
+	later := *held
+	time.AfterFunc(handOverTime, later.Release)
+}
+
 // readAll reads the body of an answer. It returns errAnswerTooLarge if that has more than maxAnswerBytes or
 // there is no memory for it.
 func (m *answerMemory) readAll(held *accountant.Reservation, head Head) ([]byte, error) {
--- a/internal/proxy/forwarder/accounted.go
+++ b/internal/proxy/forwarder/accounted.go
@@ -13,6 +13,10 @@
 const (
 	// fieldBytes is what a field of a call costs beyond its bytes in a message.
 	fieldBytes = 96
+	// messageBytes is what handling a message costs: its goroutine, stack and contexts.
+	messageBytes = 8 << 10
+	// growth is the factor by which the memory of a message that is being read may exceed what has arrived.
+	growth = 2
 	// replyRetention is how long the answer in a reply stays in memory after it was sent, for a sender that
 	// sends the attempt again.
 	replyRetention = 2 * time.Second
@@ -56,14 +60,15 @@
 }
 
 // accountedCodec is the codec of a connection whose messages reserve memory until their reply is written.
-// Messages up to accountant.SmallBytes, such as those of the members, cost nothing beyond their connection.
+// The bytes of small messages, such as those of the members, cost nothing beyond their connection.
 type accountedCodec struct {
 	rpc.ServerCodec
 	account *accountant.Account
 	conn    *accountant.Conn
-	// current and size are what the message being read holds and has read.
-	current accountant.Reservation
-	size    int64
+	// current is what the message being read holds, size its bytes so far and reserved those of them for which
+	// it holds growth times as much.
+	current        accountant.Reservation
+	size, reserved int64
 
 	// mu guards messages, those without a reply by sequence number.
 	mu       sync.Mutex
@@ -83,12 +88,13 @@
 	if c.size <= accountant.SmallBytes {
 		return true
 	}
-	return c.current.Grow(accountant.Messages, n)
+	c.reserved += n
+	return c.current.Grow(accountant.Messages, growth*n)
 }
 
 // ReadRequestHeader implements rpc.ServerCodec.
 func (c *accountedCodec) ReadRequestHeader(r *rpc.Request) error {
-	c.size = 0
+	c.size, c.reserved = 0, 0
 	err := c.ServerCodec.ReadRequestHeader(r)
 	c.sequence = r.Seq
 	if err != nil {
@@ -100,6 +106,13 @@
 // ReadRequestBody implements rpc.ServerCodec.
 func (c *accountedCodec) ReadRequestBody(body any) error {
 	err := c.ServerCodec.ReadRequestBody(body)
+	c.current.Shrink(accountant.Messages, (growth-1)*c.reserved)
+	if err == nil {
+		// The connection goes on after this error, which the sender gets as a reply.
+		if _, ok := c.current.GrowFrom(accountant.SmallMessages, accountant.Messages, messageBytes); !ok {
+			err = accountant.ErrFull
+		}
+	}
 	if args, ok := body.(*RunArgs); ok && err == nil {
 		c.current.Take(accountant.Messages, fieldBytes*int64(len(args.Job.Call.Fields)))
 	}
