--- a/internal/proxy/acceptor/input_test.go
+++ b/internal/proxy/acceptor/input_test.go
@@ -113,7 +113,7 @@
 // FuzzReadChunks does the same for the chunks of a body.
 func FuzzReadChunks(f *testing.F) {
 	for _, seed := range []string{
-		"0\r\n\r\n", "1\r\nb\r\n0\r\n\r\n", "4;a=\"b\"\r\nbody\r\n0\r\nT: v\r\n\r\nmore", "1\nb\n0\n\n", "-1\r\n", "10000000000000000\r\n", "1\r\nbb",
+		"0\r\n\r\n", "1\r\nb\r\n0\r\n\r\n", "4;a=\"b\"\r\nbody\r\n0\r\nT: v\r\n\r\nmore", "1\nb\n0\n\n", "0\r\nno field\r\n\r\n", "-1\r\n", "10000000000000000\r\n", "1\r\nbb",
 	} {
 		f.Add([]byte(seed))
 	}
--- a/internal/proxy/forwarder/accounted_test.go
+++ b/internal/proxy/forwarder/accounted_test.go
@@ -53,19 +53,18 @@
 	})
 }
 
-// sendAttempt sends an attempt with a body but for its last bytes.
-func sendAttempt(c net.Conn, body, missing int) error {
+// sendAttempt sends an attempt with a body but for its last bytes, and returns how many were read.
+func sendAttempt(c net.Conn, body, missing int) (int, error) {
 	args := &RunArgs{Job: executor.Job{Call: carrier.Call{Body: make([]byte, body)}}}
 	data := msgp.AppendString(nil, "Node.Run")
 	data = msgp.AppendUint64(data, 1)
 	data = msgp.AppendString(data, "")
 	var b writer
 	if err := msgp.Encode(&b, args); err != nil {
-		return err
+		return 0, err
 	}
 	data = append(data, b...)
-	_, err := c.Write(data[:len(data)-missing])
-	return err
+	return c.Write(data[:len(data)-missing])
 }
 
 type writer []byte
@@ -79,12 +78,14 @@
 func TestMessageReservesMemory(t *testing.T) {
 	Convey("A message", t, func() {
 		withPeer(t, func(account *accountant.Account, peer net.Conn) {
-			So(sendAttempt(peer, 1<<20, 512), ShouldBeNil)
+			_, err := sendAttempt(peer, 1<<20, 512)
+			So(err, ShouldBeNil)
 			synctest.Wait()
 			So(account.Usage(accountant.Messages).Used, ShouldBeBetween, 2<<20-64<<10, 2<<20+64<<10)
 		})
 		withPeer(t, func(account *accountant.Account, peer net.Conn) {
-			So(sendAttempt(peer, 1<<20, 0), ShouldBeNil)
+			_, err := sendAttempt(peer, 1<<20, 0)
+			So(err, ShouldBeNil)
 			synctest.Wait()
 			So(account.Usage(accountant.Messages).Used, ShouldEqual, 0)
 		})
@@ -96,7 +97,9 @@
 	withPeer(t, func(account *accountant.Account, peer net.Conn) {
 		limit := account.Usage(accountant.Messages).Limit
 		account.Take(accountant.Messages, limit)
-		So(sendAttempt(peer, 1<<20, 0), ShouldEqual, io.ErrClosedPipe)
+		sent, err := sendAttempt(peer, 1<<20, 0)
+		So(err, ShouldEqual, io.ErrClosedPipe)
+		So(sent, ShouldBeLessThan, 128<<10)
 		account.Release(accountant.Messages, limit)
 		So(account.Usage(accountant.Messages).Refused, ShouldBeGreaterThan, 0)
 	})
