--- a/internal/proxy/assembler/quotas.go
+++ b/internal/proxy/assembler/quotas.go
@@ -38,7 +38,7 @@
 	}
 	p.granter = granter.New(granter.Config{
 		Node:     p.settings.Load().Node.ID,
-		Bounds:   rationer.Bounds{Window: s.Window.Std(), Excess: s.Excess, Slack: s.Slack},
+		Bounds:   rationer.Bounds{Window: s.Window(), Excess: s.Excess, Slack: s.Slack},
 		Members:  p.Members,
 		Limit:    p.quotaOf,
 		Call:     p.forwarder.CallService,
--- a/internal/proxy/assembler/quotas_test.go
+++ b/internal/proxy/assembler/quotas_test.go
@@ -10,7 +10,6 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"github.com/tamarackscale/tamarackscale/internal/input/decoder"
 	"github.com/tamarackscale/tamarackscale/internal/settings/reader"
 	"github.com/tamarackscale/tamarackscale/standin/mesh"
 )
@@ -19,7 +18,7 @@
 
 // withQuotas switches quotas on in the settings of a mesh.
 func withQuotas(m *mesh.Mesh) {
-	m.Quotas = &reader.Quotas{Window: decoder.Duration(quotaWindow), Excess: 0.1, Slack: 20}
+	m.Quotas = &reader.Quotas{WindowSeconds: quotaWindow.Seconds(), Excess: 0.1, Slack: 20}
 }
 
 // load is the calls of an account from all nodes.
--- a/internal/proxy/assembler/rollouts_test.go
+++ b/internal/proxy/assembler/rollouts_test.go
@@ -8,14 +8,13 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"github.com/tamarackscale/tamarackscale/internal/input/decoder"
 	"github.com/tamarackscale/tamarackscale/internal/settings/reader"
 	"github.com/tamarackscale/tamarackscale/standin/mesh"
 	"github.com/tamarackscale/tamarackscale/standin/metastore"
 )
 
 // rolloutsOn is the section of the settings in the known deployments.
-var rolloutsOn = &reader.Rollouts{ExposureShare: 0.1, ExposureSlack: 50, RollbackTime: decoder.Duration(5 * time.Second)}
+var rolloutsOn = &reader.Rollouts{ExposureShare: 0.1, ExposureSlack: 50, RollbackSeconds: 5}
 
 // callEach makes some calls to service "a" from each node that is ready, and returns how many
 // succeeded.
--- a/internal/settings/reader/reader.go
+++ b/internal/settings/reader/reader.go
@@ -95,24 +95,46 @@
 	Descriptors int `yaml:"descriptors"`
 }
 
+// MemoryOrDefault returns the memory in megabytes, that of the smallest VM if it is unknown.
+func (l Limits) MemoryOrDefault() int {
+	if l.Memory == 0 {
+		return defaultMemory
+	}
+	return l.Memory
+}
+
+// defaultMemory is in megabytes.
+const defaultMemory = 184
+
 // Quotas bounds by how much the calls of a client account may exceed its quota in any period of
-// Window, over all nodes: by the fraction Excess of the quota, and by Slack calls.
+// WindowSeconds, over all nodes: by the fraction Excess of the quota, and by Slack calls. A section
+// of null values counts as absent.
 type Quotas struct {
-	// Window is 1s to 1h.
-	Window decoder.Duration `yaml:"window"`
-	Excess float64          `yaml:"excess"`
-	Slack  float64          `yaml:"slack"`
+	// WindowSeconds is 1 to 3600.
+	WindowSeconds float64 `yaml:"windowSeconds"`
+	Excess        float64 `yaml:"excess"`
+	Slack         float64 `yaml:"slack"`
 }
 
-// Rollouts bounds what a faulty version of a service may receive while it is rolled out.
+// Window returns the period.
+func (q *Quotas) Window() time.Duration { return secondsOf(q.WindowSeconds) }
+
+// Rollouts bounds what a faulty version of a service may receive while it is rolled out. A section of
+// null values counts as absent.
 type Rollouts struct {
 	// ExposureShare is the fraction of the service's calls during the rollout that may go to the
 	// version, above 0 and at most 1; ExposureSlack is a number of calls beyond that.
 	ExposureShare float64 `yaml:"exposureShare"`
 	ExposureSlack float64 `yaml:"exposureSlack"`
-	// RollbackTime is the time from the failures that show the fault until no call may go to the
-	// version; 100ms to 1h.
-	RollbackTime decoder.Duration `yaml:"rollbackTime"`
+	// RollbackSeconds is the time from the failures that show the fault until no call may go to the
+	// version; 0.1 to 3600.
+	RollbackSeconds float64 `yaml:"rollbackSeconds"`
+}
+
+// secondsOf converts seconds, at most a day: what a conversion makes of a number that overflows differs
+// between processors.
+func secondsOf(seconds float64) time.Duration {
+	return time.Duration(min(seconds, 86_400) * float64(time.Second))
 }
 
 // Hedging bounds the additional calls that hedging makes.
@@ -136,6 +158,7 @@
 func Parse(file string, data []byte) (*Settings, error) {
 	var s Settings
 	findings := decoder.Decode(file, data, &s)
+	s.dropEmptySections()
 	if findings.Err() == nil {
 		check(&s, findings)
 	}
@@ -145,6 +168,17 @@
 	return &s, nil
 }
 
+// dropEmptySections removes the sections whose values are all null, as a template leaves them for a
+// deployment that does not set them.
+func (s *Settings) dropEmptySections() {
+	if s.Quotas != nil && *s.Quotas == (Quotas{}) {
+		s.Quotas = nil
+	}
+	if s.Rollouts != nil && *s.Rollouts == (Rollouts{}) {
+		s.Rollouts = nil
+	}
+}
+
 func check(s *Settings, c *collector.Collector) {
 	if s.Node.ID == "" {
 		c.Add("node.id", "is missing")
@@ -238,7 +272,7 @@
 	if q == nil {
 		return
 	}
-	c.Range("quotas.window", q.Window.Std(), time.Second, time.Hour)
+	c.Range("quotas.windowSeconds", q.Window(), time.Second, time.Hour)
 	if !isNonNegative(q.Excess) || !isNonNegative(q.Slack) {
 		c.Add("quotas.excess", "excess and slack must be numbers that are not negative")
 	}
@@ -254,7 +288,7 @@
 	if !isNonNegative(r.ExposureSlack) {
 		c.Add("rollouts.exposureSlack", "must be a number that is not negative")
 	}
-	c.Range("rollouts.rollbackTime", r.RollbackTime.Std(), 100*time.Millisecond, time.Hour)
+	c.Range("rollouts.rollbackSeconds", secondsOf(r.RollbackSeconds), 100*time.Millisecond, time.Hour)
 }
 
 func checkHedging(c *collector.Collector, h *Hedging) {
--- a/internal/settings/reader/reader_test.go
+++ b/internal/settings/reader/reader_test.go
@@ -94,11 +94,11 @@
 		{"listen.ports", "[7000,7015]", "[7000,65536]"},
 		{"limits.memory", "seeds:", "limits: {memory: -1}\nseeds:"},
 		{"limits.descriptors", "seeds:", "limits: {descriptors: -1}\nseeds:"},
-		{"quotas.window", "seeds:", "quotas: {window: 0s}\nseeds:"},
-		{"quotas.excess", "seeds:", "quotas: {window: 5s, excess: .nan}\nseeds:"},
-		{"rollouts.exposureShare", "seeds:", "rollouts: {exposureShare: 0, rollbackTime: 5s}\nseeds:"},
-		{"rollouts.exposureSlack", "seeds:", "rollouts: {exposureShare: 0.1, exposureSlack: -1, rollbackTime: 5s}\nseeds:"},
-		{"rollouts.rollbackTime", "seeds:", "rollouts: {exposureShare: 0.1}\nseeds:"},
+		{"quotas.windowSeconds", "seeds:", "quotas: {windowSeconds: .nan}\nseeds:"},
+		{"quotas.excess", "seeds:", "quotas: {windowSeconds: 5, excess: .nan}\nseeds:"},
+		{"rollouts.exposureShare", "seeds:", "rollouts: {exposureShare: 0, rollbackSeconds: 5}\nseeds:"},
+		{"rollouts.exposureSlack", "seeds:", "rollouts: {exposureShare: 0.1, exposureSlack: -1, rollbackSeconds: 5}\nseeds:"},
+		{"rollouts.rollbackSeconds", "seeds:", "rollouts: {exposureShare: 0.1}\nseeds:"},
 		{"hedging.extraWork", "seeds:", "hedging: {extraWork: 1.5}\nseeds:"},
 	}
 	Convey("Each is a finding", t, func() {
@@ -118,14 +118,22 @@
 		So(s.Quotas, ShouldBeNil)
 		So(s.Rollouts, ShouldBeNil)
 		So(s.Hedging, ShouldBeNil)
+		s, err = Parse("f", []byte(validSettings+`limits: {memory: null, descriptors: null}
+quotas: {windowSeconds: null, excess: null, slack: null}
+rollouts: {exposureShare: null, exposureSlack: null, rollbackSeconds: null}
+`))
+		So(err, ShouldBeNil)
+		So(s.Quotas, ShouldBeNil)
+		So(s.Rollouts, ShouldBeNil)
+		So(s.Limits.MemoryOrDefault(), ShouldEqual, 184)
 		s, err = Parse("f", []byte(validSettings+`limits: {memory: 184, descriptors: 4100}
-quotas: {window: 5s, excess: 0.1, slack: 20}
-rollouts: {exposureShare: 0.1, exposureSlack: 50, rollbackTime: 5s}
+quotas: {windowSeconds: 5, excess: 0.1, slack: 20}
+rollouts: {exposureShare: 0.1, exposureSlack: 50, rollbackSeconds: 5}
 hedging: {extraWork: 0.02}
 `))
 		So(err, ShouldBeNil)
 		So(s.Limits, ShouldResemble, Limits{Memory: 184, Descriptors: 4100})
-		So(s.Quotas.Window.Std(), ShouldEqual, 5*time.Second)
+		So(s.Quotas.Window(), ShouldEqual, 5*time.Second)
 		So(s.Rollouts.ExposureShare, ShouldEqual, 0.1)
 		So(s.Hedging.ExtraWork, ShouldEqual, 0.02)
 	})
