forwarder: an attempt for a restarted process finds the connection to the former one closed

Cause: an attempt is sent only on a connection that leads to its process, which was checked before the connection was used. One to a process that had ended was never used again, so it was never found closed and replaced. Change: if the connection leads to another process than the member's, its clock is read once more, which shows a closed connection.

--- a/internal/proxy/forwarder/forward.go
+++ b/internal/proxy/forwarder/forward.go
@@ -180,6 +180,13 @@
 	if err := f.identify(ctx, a.node, p, l); err != nil {
 		return nil, err
 	}
+	if l.identified.Load() && !l.earlier && l.process != a.member.Start {
+		// The process behind the connection may have ended without a use of the connection since, which
+		// would have shown that. A connection that works leads to another process than the member's.
+		if err := f.readClock(ctx, a.node, p, l, true); err != nil {
+			return nil, err
+		}
+	}
 	if !a.dated && !l.earlier {
 		a.args.LatestStart, a.dated = a.node.clock.convert(a.member.Start, a.deadline.Sub(f.opened), f.now())
 	}
@@ -209,13 +216,19 @@
 	if f.isIdentified(n, l) {
 		return nil
 	}
+	return f.readClock(ctx, n, p, l, false)
+}
+
+// readClock does the same by an exchange. If again is not set, another exchange that has ended in the
+// meantime is enough.
+func (f *Forwarder) readClock(ctx context.Context, n *node, p *peer, l *connection, again bool) error {
 	select {
 	case l.identifying <- struct{}{}:
 	case <-ctx.Done():
 		return withdrawn(ctx)
 	}
 	defer func() { <-l.identifying }()
-	if f.isIdentified(n, l) {
+	if !again && f.isIdentified(n, l) {
 		return nil
 	}
 	reply, sent := &ClockReply{}, f.now()
