balancer: placement weighs the time of large bodies on the links

An upload went to the upstream with the best slots, whatever link led there, and was offered again to a link that had just refused one.

For kinds with a mean of more than 16 KiB of bodies the expected time includes the transfer over the slower of the two links, and the wait that a link stated with its last refusal. Other kinds, and links of unknown rate, are placed as before. The cost of bytes between zones is unchanged.

--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -120,7 +120,7 @@
 	p.dispatcher = dispatcher.New(dispatcher.Config{
 		Node: s.Node.ID, Service: func() string { return p.settings.Load().Upstream.Service },
 		Table: p.subscriber.Table, Forward: p.forwarder, Execute: p.executor, Observe: p.telemetry,
-		Balancer: balancer.New(s.Node.AvailabilityZone), End: p.callsEnd,
+		Balancer: balancer.New(s.Node.AvailabilityZone).WithLink(s.Node.ID, s.Node.LinkRate), End: p.callsEnd,
 		Budget: retrier.Budget{
 			Ratio: p.bounds.RetryRatio, Slack: p.bounds.RetrySlack, Window: p.bounds.RetryWindow.Std(),
 		},
--- a/internal/proxy/balancer/balancer.go
+++ b/internal/proxy/balancer/balancer.go
@@ -70,6 +70,8 @@
 	failureRate   float64
 	failureRateAt time.Time
 	ejectedUntil  time.Time
+	// linkFreeAt is when the link is expected to take a large body again, after it refused one.
+	linkFreeAt time.Time
 	// fullUntil is, for each class, the time until which the upstream counts as full
 	// because it shed a call of that class.
 	fullUntil [queuer.Classes]time.Time
@@ -106,6 +108,9 @@
 // not safe for concurrent use: the owner's lock must be held.
 type Balancer struct {
 	zone string
+	// node is the name of the own node, and linkRate the rate of its link in Mbit/s; 0 if unknown.
+	node     string
+	linkRate float64
 	// meanBytes is the mean total size of the bodies of request and answer, by kind of call.
 	meanBytes map[string]float64
 	// deviation is the mean absolute deviation of service times from the mean of their
@@ -271,6 +276,8 @@
 	Unreachable bool
 	// Full reports whether the node's queue or the upstream shed the call.
 	Full bool
+	// LinkWait is how long the link will be too busy for the body of the call; 0 if it is not.
+	LinkWait time.Duration
 	// Load is the load received with the result; nil if there is none.
 	Load *Load
 }
@@ -282,6 +289,7 @@
 	if o.Load != nil {
 		c.load, c.loadAt, c.sentSinceLoad = *o.Load, now, 0
 	}
+	c.recordLinkWait(o.LinkWait, now)
 	if o.Full {
 		c.fullUntil[o.Class] = now.Add(fullTTL)
 	}
--- a/internal/proxy/balancer/estimate.go
+++ b/internal/proxy/balancer/estimate.go
@@ -68,7 +68,8 @@
 	if now.UnixMilli() < c.ColdUntil {
 		service *= coldStartFactor
 	}
-	expected := service + c.queueWait(info.Class, service, now)
+	// The queue empties while the body is on its way.
+	expected := service + max(c.queueWait(info.Class, service, now), b.transferTime(c, info.Kind, now))
 	if c.Zone != b.zone {
 		expected += crossZoneRTT
 	}
--- a/internal/proxy/dispatcher/placement.go
+++ b/internal/proxy/dispatcher/placement.go
@@ -240,7 +240,9 @@
 	case carrier.DeadlineExceeded:
 		// A call whose deadline passed in the queue says nothing about the upstream.
 		o.Failed = r.Outcome != carrier.NotRun
-	case carrier.CallerGone, carrier.UrgentFirst, carrier.LinkBusy:
+	case carrier.LinkBusy:
+		o.LinkWait = r.Wait
+	case carrier.CallerGone, carrier.UrgentFirst:
 	default:
 		o.Unreachable = true
 	}
