forwarder, shaper: large bodies in pieces; a refused offer ends its attempt

The receiver now ends an attempt together with its offer. An offer that is made again replaces the former without ending the attempt.

A body over the window of 100 ms was granted alone and held up small calls for up to 288 ms at 10 Mbit/s. It is now granted in pieces of half the window, each of which asks for the next. A body that has begun goes before others of its class, so that what was received is not lost.

--- a/internal/proxy/forwarder/attempts.go
+++ b/internal/proxy/forwarder/attempts.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
-	"github.com/tamarackscale/tamarackscale/internal/proxy/executor"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/fencer"
 )
 
@@ -26,16 +25,33 @@
 		reply.Run.OtherProcess = true
 		return nil
 	}
-	if isLarge(args.Job) {
-		r.offers.remove(args.AttemptID, carrier.CallerGone)
-	}
 	latest := r.opened.Add(args.LatestStart)
 	args.Job = args.Job.At(time.Until(latest))
-	reply.Expired = r.execute(args.AttemptID, latest, args.Job, &reply.Run)
+	reply.Expired = r.execute(args.AttemptID, latest, &reply.Run, func(ctx context.Context) (carrier.Result, time.Duration) {
+		if !r.joinBody(args) {
+			// No later message of the attempt is executed either, so the refusal is true.
+			return carrier.Refuse(carrier.LinkBusy), 0
+		}
+		return r.executor.Execute(ctx, args.Job)
+	})
 	reply.Reading = r.reading(time.Now())
 	return nil
 }
 
+// joinBody puts the pieces that were received before in front of the body, and reports whether that
+// is whole. It makes the offer of the body void.
+func (r *Receiver) joinBody(args *AttemptArgs) bool {
+	if args.Offset == 0 {
+		if isLarge(args.Job) {
+			r.offers.remove(args.AttemptID, carrier.CallerGone)
+		}
+		return true
+	}
+	pieces, whole := r.offers.take(args.AttemptID, args.Offset)
+	args.Job.Call.Body = append(pieces, args.Job.Call.Body...)
+	return whole
+}
+
 // Run does the same for a sender that states no latest start. Its copies are recognized for a
 // limited time only.
 func (m *methods) Run(args *RunArgs, reply *RunReply) error {
@@ -43,20 +59,24 @@
 		reply.OtherProcess = true
 		return nil
 	}
-	m.r.execute(args.AttemptID, time.Time{}, args.Job, reply)
+	m.r.execute(args.AttemptID, time.Time{}, reply, func(ctx context.Context) (carrier.Result, time.Duration) {
+		return m.r.executor.Execute(ctx, args.Job)
+	})
 	return nil
 }
 
-// execute executes an attempt unless it is known or its latest start has passed, and sets the
-// reply to its result. It reports whether the message came too late to be recognized.
-func (r *Receiver) execute(id fencer.AttemptID, latest time.Time, job executor.Job, reply *RunReply) bool {
+// execute executes an attempt with run, unless it is known or its latest start has passed, and sets
+// the reply to its result. It reports whether the message came too late to be recognized.
+func (r *Receiver) execute(
+	id fencer.AttemptID, latest time.Time, reply *RunReply, run func(ctx context.Context) (carrier.Result, time.Duration),
+) bool {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	r.mu.Lock()
 	entry, isNew := r.fencer.Begin(id, latest, cancel, time.Now())
 	r.mu.Unlock()
 	if isNew {
-		result, upstreamTime := r.executor.Execute(ctx, job)
+		result, upstreamTime := run(ctx)
 		r.finish(entry, result, upstreamTime)
 	}
 	r.reportTo(entry, reply)
--- a/internal/proxy/forwarder/forward.go
+++ b/internal/proxy/forwarder/forward.go
@@ -102,9 +102,11 @@
 // send sends the attempt on the open connection, or on a new one, and waits for its
 // result.
 func (f *Forwarder) send(ctx context.Context, a *attempt) (RunReply, error) {
-	p := a.node.small
+	p, granted := a.node.small, 0
 	if isLarge(a.args.Job) {
-		if reply, granted, err := f.offer(ctx, a); !granted {
+		var reply RunReply
+		var err error
+		if reply, granted, err = f.offer(ctx, a); granted == 0 {
 			return reply, err
 		}
 		p = a.node.large
@@ -118,9 +120,19 @@
 	case !a.isFor(l):
 		return RunReply{OtherProcess: true}, nil
 	}
+	args := &a.args
+	if granted < len(a.args.Job.Call.Body) && granted > 0 {
+		offset, reply, err := f.sendPieces(ctx, l, a, granted)
+		if offset == 0 {
+			return reply, err
+		}
+		rest := a.args
+		rest.Offset, rest.Job.Call.Body = offset, a.args.Job.Call.Body[offset:]
+		args = &rest
+	}
 	reply := &AttemptReply{}
 	mayHaveRun, sent := a.mayHaveArrived, f.now()
-	err = p.call(ctx, l, "Attempt", &a.args, reply, a.deadline)
+	err = p.call(ctx, l, "Attempt", args, reply, a.deadline)
 	a.mayHaveArrived = a.mayHaveArrived || !errors.Is(err, errNotSent)
 	received, err := replyOf(reply, err)
 	return f.resultOf(a, received, mayHaveRun, sent), err
@@ -139,29 +151,53 @@
 	return reply.Run
 }
 
+// sendPieces sends the body of an attempt in granted pieces, except for the last one, and returns
+// its position. If the rest is refused, the position is 0 and sendPieces returns the result of the
+// attempt or an error.
+func (f *Forwarder) sendPieces(ctx context.Context, l *connection, a *attempt, granted int) (int, RunReply, error) {
+	body, offset := a.args.Job.Call.Body, 0
+	for offset+granted < len(body) {
+		args := &PieceArgs{
+			AttemptID: a.args.AttemptID, Start: a.args.Start, LatestStart: a.args.LatestStart,
+			Offset: offset, Bytes: body[offset : offset+granted],
+		}
+		reply, sent := &OfferReply{}, f.now()
+		err := a.node.large.call(ctx, l, "Piece", args, reply, a.deadline)
+		received, err := replyOf(reply, err)
+		result := f.resultOf(a, received.Attempt, a.mayHaveArrived, sent)
+		if received.Granted == 0 {
+			return 0, result, err
+		}
+		offset, granted = offset+granted, received.Granted
+	}
+	return offset, RunReply{}, nil
+}
+
 // offer offers the body of an attempt, if the receiver states the rate of its link, and waits until
-// the offer is granted. If it is not, offer returns the result of the attempt or an error.
-func (f *Forwarder) offer(ctx context.Context, a *attempt) (RunReply, bool, error) {
+// the offer is granted. It returns the number of bytes that may be sent. If that is 0, it returns the
+// result of the attempt or an error.
+func (f *Forwarder) offer(ctx context.Context, a *attempt) (RunReply, int, error) {
+	bytes := len(a.args.Job.Call.Body)
 	if a.member.LinkRate == 0 {
-		return RunReply{}, true, nil
+		return RunReply{}, bytes, nil
 	}
 	p := a.node.small
 	l, err := f.connect(ctx, p, a)
 	switch {
 	case err != nil:
-		return RunReply{}, false, err
+		return RunReply{}, 0, err
 	case l.earlier:
-		return RunReply{}, true, nil
+		return RunReply{}, bytes, nil
 	case !a.isFor(l):
-		return RunReply{OtherProcess: true}, false, nil
+		return RunReply{OtherProcess: true}, 0, nil
 	}
-	args := &OfferArgs{Attempt: a.args, Bytes: len(a.args.Job.Call.Body)}
+	args := &OfferArgs{Attempt: a.args, Bytes: bytes}
 	args.Attempt.Job.Call.Body = nil
 	reply, sent := &OfferReply{}, f.now()
 	a.offered = true
 	err = p.call(ctx, l, "Offer", args, reply, a.deadline)
 	received, err := replyOf(reply, err)
-	return f.resultOf(a, received.Attempt, a.mayHaveArrived, sent), err == nil && received.Granted, err
+	return f.resultOf(a, received.Attempt, a.mayHaveArrived, sent), received.Granted, err
 }
 
 // isLarge reports whether the body of a job takes the connection for large bodies.
--- a/internal/proxy/forwarder/messages.go
+++ b/internal/proxy/forwarder/messages.go
@@ -19,7 +19,7 @@
 
 //go:generate go tool msgp -tests=false -marshal=false -o messages_gen.go
 
-//msgp:tuple RunArgs RunReply CancelArgs AttemptArgs AttemptReply RevokeArgs ClockReply OfferArgs OfferReply Empty DrainStartArgs DrainStartReply ConfigurationArgs ConfigurationReply
+//msgp:tuple RunArgs RunReply CancelArgs AttemptArgs AttemptReply RevokeArgs ClockReply OfferArgs PieceArgs OfferReply Empty DrainStartArgs DrainStartReply ConfigurationArgs ConfigurationReply
 //msgp:ignore MemberList
 
 // ClockReply holds a reading of the receiver's steady clock.
@@ -42,6 +42,8 @@
 	// Job holds the times left at the start of the attempt. The receiver computes those left
 	// when it begins from LatestStart, which is when Job.Remaining has passed.
 	Job executor.Job
+	// Offset is the number of bytes of the body that were sent before as pieces; Job holds the rest.
+	Offset int
 }
 
 // AttemptReply is the result of an attempt.
@@ -169,9 +171,21 @@
 	Bytes int
 }
 
-// OfferReply grants an offer, or holds the result of the attempt if it is refused or has begun
-// already.
+// PieceArgs sends a granted piece of the body of an offered attempt, which is not the last one.
+type PieceArgs struct {
+	AttemptID fencer.AttemptID
+	// Start and LatestStart are those of AttemptArgs.
+	Start       int64
+	LatestStart time.Duration
+	// Offset is the position of the piece in the body.
+	Offset int
+	Bytes  []byte
+}
+
+// OfferReply grants an offer, or the rest of one after a piece, or holds the result of the attempt if
+// it is refused or has begun already.
 type OfferReply struct {
-	Granted bool
+	// Granted is the number of bytes that the sender may send; 0 if the offer is not granted.
+	Granted int
 	Attempt AttemptReply
 }
--- a/internal/proxy/forwarder/messages_gen.go
+++ b/internal/proxy/forwarder/messages_gen.go
@@ -14,8 +14,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	err = z.AttemptID.DecodeMsg(dc)
@@ -38,13 +38,18 @@
 		err = msgp.WrapError(err, "Job")
 		return
 	}
+	z.Offset, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "Offset")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *AttemptArgs) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 4
-	err = en.Append(0x94)
+	// array header, size 5
+	err = en.Append(0x95)
 	if err != nil {
 		return
 	}
@@ -68,12 +73,17 @@
 		err = msgp.WrapError(err, "Job")
 		return
 	}
+	err = en.WriteInt(z.Offset)
+	if err != nil {
+		err = msgp.WrapError(err, "Offset")
+		return
+	}
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *AttemptArgs) Msgsize() (s int) {
-	s = 1 + z.AttemptID.Msgsize() + msgp.Int64Size + msgp.DurationSize + z.Job.Msgsize()
+	s = 1 + z.AttemptID.Msgsize() + msgp.Int64Size + msgp.DurationSize + z.Job.Msgsize() + msgp.IntSize
 	return
 }
 
@@ -548,7 +558,7 @@
 		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
 		return
 	}
-	z.Granted, err = dc.ReadBool()
+	z.Granted, err = dc.ReadInt()
 	if err != nil {
 		err = msgp.WrapError(err, "Granted")
 		return
@@ -588,7 +598,7 @@
 	if err != nil {
 		return
 	}
-	err = en.WriteBool(z.Granted)
+	err = en.WriteInt(z.Granted)
 	if err != nil {
 		err = msgp.WrapError(err, "Granted")
 		return
@@ -618,7 +628,88 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *OfferReply) Msgsize() (s int) {
-	s = 1 + msgp.BoolSize + 1 + z.Attempt.Run.Msgsize() + msgp.DurationSize + msgp.BoolSize
+	s = 1 + msgp.IntSize + 1 + z.Attempt.Run.Msgsize() + msgp.DurationSize + msgp.BoolSize
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *PieceArgs) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+		return
+	}
+	err = z.AttemptID.DecodeMsg(dc)
+	if err != nil {
+		err = msgp.WrapError(err, "AttemptID")
+		return
+	}
+	z.Start, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "Start")
+		return
+	}
+	z.LatestStart, err = dc.ReadDuration()
+	if err != nil {
+		err = msgp.WrapError(err, "LatestStart")
+		return
+	}
+	z.Offset, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "Offset")
+		return
+	}
+	z.Bytes, err = dc.ReadBytes(z.Bytes)
+	if err != nil {
+		err = msgp.WrapError(err, "Bytes")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *PieceArgs) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 5
+	err = en.Append(0x95)
+	if err != nil {
+		return
+	}
+	err = z.AttemptID.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "AttemptID")
+		return
+	}
+	err = en.WriteInt64(z.Start)
+	if err != nil {
+		err = msgp.WrapError(err, "Start")
+		return
+	}
+	err = en.WriteDuration(z.LatestStart)
+	if err != nil {
+		err = msgp.WrapError(err, "LatestStart")
+		return
+	}
+	err = en.WriteInt(z.Offset)
+	if err != nil {
+		err = msgp.WrapError(err, "Offset")
+		return
+	}
+	err = en.WriteBytes(z.Bytes)
+	if err != nil {
+		err = msgp.WrapError(err, "Bytes")
+		return
+	}
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *PieceArgs) Msgsize() (s int) {
+	s = 1 + z.AttemptID.Msgsize() + msgp.Int64Size + msgp.DurationSize + msgp.IntSize + msgp.BytesPrefixSize + len(z.Bytes)
 	return
 }
 
--- a/internal/proxy/forwarder/offers.go
+++ b/internal/proxy/forwarder/offers.go
@@ -19,6 +19,8 @@
 type offer struct {
 	*shaper.Offer
 	job executor.Job
+	// body holds the pieces that were received.
+	body []byte
 	// withdrawn ends when the offer is void: its caller has left, another offer of the attempt has
 	// replaced it, or the upstream takes no more calls. Its cause is a *withdrawal.
 	withdrawn context.Context
@@ -26,7 +28,8 @@
 	expiry    *time.Timer
 }
 
-// withdrawal is why an offer became void.
+// withdrawal is why an offer became void. The reason is empty if another offer of the same attempt has
+// replaced it.
 type withdrawal struct{ reason carrier.Reason }
 
 func (w *withdrawal) Error() string { return string(w.reason) }
@@ -83,9 +86,11 @@
 			f := s.forecast(job, now)
 			return shaper.Slots{Wait: f.Wait, Service: f.Service, Count: f.Slots}
 		})
-	s.remove(id, carrier.CallerGone)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if former := s.open[id]; former != nil {
+		s.removeLocked(id, former, "")
+	}
 	s.open[id] = o
 	o.expiry = time.AfterFunc(latest.Sub(now), func() { s.expire(id, o) })
 	s.shaper.Offer(o.Offer, now)
@@ -93,24 +98,53 @@
 	return o
 }
 
-// await waits until the offer is settled and returns whether it is granted, or else the refusal.
-func (s *offers) await(o *offer) (carrier.Result, bool) {
+// addPiece adds a piece to the body of an offer and offers the rest. It reports whether the offer is
+// open and the piece is the next one.
+func (s *offers) addPiece(args *PieceArgs, now time.Time) (*offer, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o := s.open[args.AttemptID]
+	if o == nil || len(o.body) != args.Offset || len(args.Bytes) != o.Granted {
+		return nil, false
+	}
+	o.body = append(o.body, args.Bytes...)
+	s.shaper.Continue(o.Offer, now)
+	s.lookLater()
+	return o, true
+}
+
+// take makes the offer of an attempt void, whose last message has arrived, and returns the body that
+// came before. It reports whether that has the given length.
+func (s *offers) take(id fencer.AttemptID, length int) ([]byte, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o := s.open[id]
+	if o == nil {
+		return nil, false
+	}
+	s.removeLocked(id, o, carrier.CallerGone)
+	return o.body, len(o.body) == length
+}
+
+// await waits until the offer is settled and returns the number of granted bytes, or the refusal. The
+// refusal has no reason if another offer has replaced this one.
+func (s *offers) await(o *offer) (carrier.Result, int) {
 	select {
 	case refusal := <-o.Settled:
 		if refusal == nil {
-			return carrier.Result{}, true
+			return carrier.Result{}, o.Granted
 		}
 		reason := carrier.WaitTooLong
 		if refusal.Link {
 			reason = carrier.LinkBusy
 		}
-		return carrier.Result{Outcome: carrier.NotRun, Reason: reason, Wait: refusal.Wait}, false
+		return carrier.Result{Outcome: carrier.NotRun, Reason: reason, Wait: refusal.Wait}, 0
 	case <-o.withdrawn.Done():
 		reason := carrier.CallerGone
 		if w, known := context.Cause(o.withdrawn).(*withdrawal); known {
 			reason = w.reason
 		}
-		return carrier.Refuse(reason), false
+		return carrier.Refuse(reason), 0
 	}
 }
 
@@ -188,11 +222,10 @@
 	r.mu.Lock()
 	entry, known := r.fencer.Find(a.AttemptID, latest, now)
 	r.mu.Unlock()
-	switch {
-	case known:
+	if known {
 		r.reportTo(entry, &reply.Attempt.Run)
 		reply.Attempt.Expired = entry.Expired
-	default:
+	} else {
 		r.settle(args, latest, now, reply)
 	}
 	reply.Attempt.Reading = r.reading(time.Now())
@@ -202,15 +235,56 @@
 // settle grants or refuses an offer.
 func (r *Receiver) settle(args *OfferArgs, latest, now time.Time, reply *OfferReply) {
 	job := args.Attempt.Job.At(latest.Sub(now))
-	run := &reply.Attempt.Run
+	id := args.Attempt.AttemptID
 	if reason := r.executor.Forecast(job, now).Refusal; reason != "" {
-		run.Result = carrier.Refuse(reason)
+		r.conclude(id, latest, carrier.Refuse(reason), &reply.Attempt)
+		return
+	}
+	r.awaitGrant(id, latest, r.offers.begin(id, job, args.Bytes, latest, now), reply)
+}
+
+// awaitGrant waits until an offer is settled and sets the reply.
+func (r *Receiver) awaitGrant(id fencer.AttemptID, latest time.Time, o *offer, reply *OfferReply) {
+	var refusal carrier.Result
+	if refusal, reply.Granted = r.offers.await(o); reply.Granted > 0 {
+		return
+	}
+	if refusal.Reason == "" {
+		// The sender waits for the settlement of the later offer instead.
+		reply.Attempt.Run.Result = carrier.Fail(carrier.PeerLost)
+		return
+	}
+	r.offers.expire(id, o)
+	r.conclude(id, latest, refusal, &reply.Attempt)
+}
+
+// conclude ends an attempt with a refusal, unless another message of it has begun already, and sets
+// the reply to its result. A copy that arrives later is not executed: the refusal promises that.
+func (r *Receiver) conclude(id fencer.AttemptID, latest time.Time, refusal carrier.Result, reply *AttemptReply) {
+	r.mu.Lock()
+	entry, isNew := r.fencer.Begin(id, latest, nil, time.Now())
+	if isNew {
+		r.fencer.Finish(entry, refusal, time.Now())
+	}
+	r.mu.Unlock()
+	r.reportTo(entry, &reply.Run)
+	reply.Expired = entry.Expired
+}
+
+// Piece takes a piece of a body and grants or refuses the next one, like Offer. The pieces of an
+// offer that is void are of no use: the call has not run and goes elsewhere.
+func (m *methods) Piece(args *PieceArgs, reply *OfferReply) error {
+	r := m.r
+	if args.Start != r.start {
+		reply.Attempt.Run.OtherProcess = true
+		return nil
+	}
+	latest := r.opened.Add(args.LatestStart)
+	if o, open := r.offers.addPiece(args, time.Now()); open {
+		r.awaitGrant(args.AttemptID, latest, o, reply)
 	} else {
-		id := args.Attempt.AttemptID
-		o := r.offers.begin(id, job, args.Bytes, latest, now)
-		if run.Result, reply.Granted = r.offers.await(o); !reply.Granted {
-			r.offers.expire(id, o)
-		}
+		r.conclude(args.AttemptID, latest, carrier.Refuse(carrier.LinkBusy), &reply.Attempt)
 	}
-	run.Load, run.Version = r.node.Load(), r.node.Version()
+	reply.Attempt.Reading = r.reading(time.Now())
+	return nil
 }
--- a/internal/proxy/shaper/shaper.go
+++ b/internal/proxy/shaper/shaper.go
@@ -14,7 +14,7 @@
 const (
 	// window is how long the link needs at most for the bytes that are granted and not yet
 	// received. It bounds how long a small call waits behind bodies. A body that needs longer is
-	// granted alone.
+	// granted in pieces of half the window, so that others come between them.
 	window = 100 * time.Millisecond
 	// usableShare is the share of the link's rate that bodies are expected to get. The rest is for
 	// small calls, answers and the overhead of the transport.
@@ -55,8 +55,9 @@
 	return s.Wait + time.Duration(float64(s.Service)*float64(ahead)/float64(s.Count))
 }
 
-// Offer is a body that waits for its grant, or that was granted and is not received yet.
+// Offer is a body that waits for a grant, or that was granted and is not received yet.
 type Offer struct {
+	// Bytes is the size of what is not received yet.
 	Bytes int
 	// Class is the priority class of the call; the lowest goes first.
 	Class int
@@ -66,14 +67,19 @@
 	Deadline  time.Time
 	// Slots returns what is expected at a time.
 	Slots func(now time.Time) Slots
-	// Settled receives nil when the offer is granted, or the refusal.
+	// Settled receives nil when the offer is granted, or the refusal. After Continue it receives
+	// the next one.
 	Settled chan *Refusal
+	// Granted is the number of bytes of the latest grant, set before Settled receives nil.
+	Granted int
 
 	sequence uint64
 	// slots is the latest result of Slots.
 	slots Slots
-	// due is when the body is expected after its grant.
+	// due is when the granted bytes are expected.
 	due time.Time
+	// begun reports whether a piece of the body was received.
+	begun bool
 }
 
 // NewOffer returns an offer that is not settled.
@@ -118,9 +124,26 @@
 	s.Advance(now)
 }
 
-// Received records that the body of a granted offer has arrived.
+// Received records that the last granted bytes of an offer have arrived, which were its rest.
 func (s *Shaper) Received(o *Offer, now time.Time) { s.Withdraw(o, now) }
 
+// Continue records that the granted bytes have arrived and offers the rest of the body.
+func (s *Shaper) Continue(o *Offer, now time.Time) {
+	delete(s.granted, o)
+	o.Bytes -= o.Granted
+	o.Granted, o.begun = 0, true
+	s.waiting = append(s.waiting, o)
+	s.Advance(now)
+}
+
+// next returns how many bytes of an offer a grant covers.
+func (s *Shaper) next(o *Offer) int {
+	if s.rate == 0 || s.transfer(o.Bytes) <= window {
+		return o.Bytes
+	}
+	return int(s.rate * window.Seconds() / 2)
+}
+
 // Withdraw removes an offer whose caller has left, whether or not it was granted.
 func (s *Shaper) Withdraw(o *Offer, now time.Time) {
 	delete(s.granted, o)
@@ -140,7 +163,7 @@
 func (s *Shaper) Outstanding() int {
 	bytes := 0
 	for o := range s.granted {
-		bytes += o.Bytes
+		bytes += o.Granted
 	}
 	return bytes
 }
@@ -191,13 +214,17 @@
 	return time.Duration(float64(bytes) / s.rate * float64(time.Second))
 }
 
-// order sorts the waiting offers by class, then by deadline.
+// order sorts the waiting offers by class, those that have begun before the others, then by
+// deadline.
 func (s *Shaper) order(now time.Time) {
 	sort.SliceStable(s.waiting, func(i, j int) bool {
 		a, b := s.waiting[i], s.waiting[j]
 		if ca, cb := s.class(a, now), s.class(b, now); ca != cb {
 			return ca < cb
 		}
+		if a.begun != b.begun {
+			return a.begun
+		}
 		if !a.Deadline.Equal(b.Deadline) {
 			return a.Deadline.Before(b.Deadline)
 		}
@@ -206,7 +233,11 @@
 }
 
 // class returns the class of an offer, which is late if too little time is left for its objective.
+// One that has begun does not become late: the bytes received would be lost if others overtook it.
 func (s *Shaper) class(o *Offer, now time.Time) int {
+	if o.begun {
+		return o.Class
+	}
 	needed := s.transfer(o.Bytes) + time.Duration(inTimeFactor*float64(o.slots.Service))
 	if now.Add(needed).After(o.Objective) {
 		return o.Class + lateClass
@@ -232,7 +263,7 @@
 // soon after the body.
 func (s *Shaper) fits(o *Offer) bool {
 	outstanding := s.Outstanding()
-	if outstanding > 0 && s.transfer(outstanding+o.Bytes) > window {
+	if s.transfer(outstanding+s.next(o)) > window {
 		return false
 	}
 	return o.slots.wait(len(s.granted)) <= s.transfer(outstanding+o.Bytes)+slotLead
@@ -241,7 +272,8 @@
 func (s *Shaper) grant(index int, now time.Time) {
 	o := s.waiting[index]
 	s.waiting = append(s.waiting[:index], s.waiting[index+1:]...)
-	o.due = now.Add(s.transfer(s.Outstanding() + o.Bytes))
+	o.Granted = s.next(o)
+	o.due = now.Add(s.transfer(s.Outstanding() + o.Granted))
 	s.granted[o] = struct{}{}
 	o.Settled <- nil
 }
@@ -249,7 +281,10 @@
 // refuseHopeless refuses the offers that the bodies ahead of them delay past the last moment at
 // which their call could still be served.
 func (s *Shaper) refuseHopeless(now time.Time) {
-	bytes, ahead := s.Outstanding(), len(s.granted)
+	bytes, ahead := 0, len(s.granted)
+	for o := range s.granted {
+		bytes += o.Bytes
+	}
 	kept := s.waiting[:0]
 	for _, o := range s.waiting {
 		linkWait, slotWait := s.transfer(bytes), o.slots.wait(ahead)
