forwarder: a call does not wait for its own body after its caller has left

TestCallLeavesTurnWithItsCaller failed once in about ten runs: the second body could get the turn first, and a call returned only after its body was written, up to 1 MiB later. A body is now written beside the call, which returns when its context ends.

--- a/internal/proxy/forwarder/forward_test.go
+++ b/internal/proxy/forwarder/forward_test.go
@@ -115,7 +115,8 @@
 			f := linkTo(far, time.Microsecond)
 			defer f.Close()
 			go f.Forward(context.Background(), farMember, jobOf("first", 400_000, 4*time.Second), false)
-			synctest.Wait()
+			// The first one is being written by then.
+			time.Sleep(10 * time.Millisecond)
 			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 			defer cancel()
 			start := time.Now()
@@ -128,12 +129,26 @@
 			_, arrived = far.arrival("second")
 			So(arrived, ShouldBeFalse)
 		})
+		Convey("A body whose caller leaves while it is being written", t, func() {
+			far := &recordingNode{opened: time.Now(), arrived: map[string]time.Duration{}}
+			f := linkTo(far, time.Microsecond)
+			defer f.Close()
+			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+			defer cancel()
+			start := time.Now()
+			reply := f.Forward(ctx, farMember, jobOf("left", 400_000, 4*time.Second), false)
+			So(time.Since(start), ShouldEqual, 100*time.Millisecond)
+			So(reply.Result, ShouldResemble, carrier.Fail(carrier.DeadlineExceeded))
+			time.Sleep(time.Minute)
+			So(len(far.revocations()), ShouldEqual, 1)
+		})
 		Convey("A deadline that passes before the turn, although the caller still waits", t, func() {
 			far := &recordingNode{opened: time.Now(), arrived: map[string]time.Duration{}}
 			f := linkTo(far, time.Microsecond)
 			defer f.Close()
 			go f.Forward(context.Background(), farMember, jobOf("first", 400_000, 4*time.Second), false)
-			synctest.Wait()
+			// The first one is being written by then.
+			time.Sleep(10 * time.Millisecond)
 			reply := f.Forward(context.Background(), farMember, jobOf("second", 400_000, 100*time.Millisecond), false)
 			So(reply.Result, ShouldResemble, carrier.Refuse(carrier.DeadlineExceeded))
 			time.Sleep(time.Minute)
--- a/internal/proxy/forwarder/peer.go
+++ b/internal/proxy/forwarder/peer.go
@@ -304,21 +304,50 @@
 	return p.await(ctx, l, pending)
 }
 
-// write writes the message of a call when it is its turn.
+// write writes the message of a call when it is its turn. A long message is written on after its
+// context has ended, but write then returns.
 func (p *peer) write(ctx context.Context, l *connection, method string, args, reply any, until time.Time) (*rpc.Call, error) {
 	if err := l.takeTurn(ctx, until); err != nil {
 		return nil, err
 	}
-	defer l.releaseTurn()
-	if message, ok := args.(msgp.Sizer); ok && p.large {
-		end := l.conn.written.Load() + int64(message.Msgsize())
-		stop := context.AfterFunc(ctx, func() {
-			if end-l.conn.written.Load() > abandonBytes {
-				p.drop(l)
-			}
-		})
-		defer stop()
+	if !p.large {
+		defer l.releaseTurn()
+		return p.writeNow(l, method, args, reply)
+	}
+	var pending *rpc.Call
+	var err error
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		defer l.releaseTurn()
+		defer p.abandonLong(ctx, l, args)()
+		pending, err = p.writeNow(l, method, args, reply)
+	}()
+	select {
+	case <-written:
+		return pending, err
+	case <-ctx.Done():
+		return nil, ctx.Err()
 	}
+}
+
+// abandonLong closes the connection if the context ends while more than abandonBytes of a message are
+// left to write. The returned function ends that.
+func (p *peer) abandonLong(ctx context.Context, l *connection, args any) func() bool {
+	message, ok := args.(msgp.Sizer)
+	if !ok {
+		return func() bool { return true }
+	}
+	end := l.conn.written.Load() + int64(message.Msgsize())
+	return context.AfterFunc(ctx, func() {
+		if end-l.conn.written.Load() > abandonBytes {
+			p.drop(l)
+		}
+	})
+}
+
+// writeNow writes the message of a call. The caller has the turn.
+func (p *peer) writeNow(l *connection, method string, args, reply any) (*rpc.Call, error) {
 	writesBefore := l.conn.writes.Load()
 	pending := l.Go(qualified(method), args, reply, make(chan *rpc.Call, 1))
 	if l.conn.writes.Load() == writesBefore {
