--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -147,7 +147,7 @@
 	calls := dispatcher.Config{
 		Node: s.Node.ID, Service: func() string { return p.settings.Load().Upstream.Service },
 		Table: p.subscriber.Table, Forward: p.forwarder, Execute: p.executor, Observe: p.telemetry, Identities: platform.HTTP{},
-		Balancer: balancer.New(s.Node.AvailabilityZone), End: p.callsEnd,
+		Balancer: balancer.New(s.Node.AvailabilityZone).WithLink(s.Node.ID, s.Node.LinkRate), End: p.callsEnd,
 		Budget: budgetOf(p.bounds), ExtraWork: extraWork(s),
 	}
 	if p.rollouts != nil {
