forwarder: pieces of bodies and messages of attempts reserve memory

Cause: the account of memory counts messages until their reply is written, by the former types of messages; a piece of a body is kept after that, and the new messages of attempts counted no header fields and no answers. Change: pieces reserve twice their size until the attempt that takes them has ended, or their offer is void; without memory the offer is refused. Fields and answers of the new messages count.

--- a/internal/proxy/forwarder/accounted.go
+++ b/internal/proxy/forwarder/accounted.go
@@ -23,7 +23,10 @@
 )
 
 // UseAccount makes messages of other nodes reserve memory from the account. It must be called before Serve.
-func (r *Receiver) UseAccount(a *accountant.Account) { r.account = a }
+func (r *Receiver) UseAccount(a *accountant.Account) {
+	r.account = a
+	r.offers.account = a
+}
 
 // newCodec returns the codec of the server side of a connection.
 func (r *Receiver) newCodec(conn net.Conn) rpc.ServerCodec {
@@ -113,8 +116,8 @@
 			err = accountant.ErrFull
 		}
 	}
-	if args, ok := body.(*RunArgs); ok && err == nil {
-		c.current.Take(accountant.Messages, fieldBytes*int64(len(args.Job.Call.Fields)))
+	if err == nil {
+		c.current.Take(accountant.Messages, fieldBytes*int64(fieldsOf(body)))
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -132,8 +135,8 @@
 // WriteResponse implements rpc.ServerCodec. net/rpc calls it once for each header that was read.
 func (c *accountedCodec) WriteResponse(r *rpc.Response, body any) error {
 	err := c.ServerCodec.WriteResponse(r, body)
-	if reply, ok := body.(*RunReply); ok && len(reply.Result.Answer.Body) > accountant.SmallBytes {
-		size := int64(cap(reply.Result.Answer.Body))
+	if answer := answerOf(body); len(answer) > accountant.SmallBytes {
+		size := int64(cap(answer))
 		c.account.Take(accountant.Answers, size)
 		time.AfterFunc(replyRetention, func() { c.account.Release(accountant.Answers, size) })
 	}
@@ -150,3 +153,29 @@
 	}
 	return err
 }
+
+// fieldsOf returns the number of header fields of the call in a message.
+func fieldsOf(body any) int {
+	switch args := body.(type) {
+	case *RunArgs:
+		return len(args.Job.Call.Fields)
+	case *AttemptArgs:
+		return len(args.Job.Call.Fields)
+	case *OfferArgs:
+		return len(args.Attempt.Job.Call.Fields)
+	}
+	return 0
+}
+
+// answerOf returns the body of the answer in a reply; nil if there is none.
+func answerOf(body any) []byte {
+	switch reply := body.(type) {
+	case *RunReply:
+		return reply.Result.Answer.Body
+	case *AttemptReply:
+		return reply.Run.Result.Answer.Body
+	case *OfferReply:
+		return reply.Attempt.Run.Result.Answer.Body
+	}
+	return nil
+}
--- a/internal/proxy/forwarder/attempts.go
+++ b/internal/proxy/forwarder/attempts.go
@@ -28,7 +28,9 @@
 	latest := r.opened.Add(args.LatestStart)
 	args.Job = args.Job.At(time.Until(latest))
 	reply.Expired = r.execute(args.AttemptID, latest, &reply.Run, func(ctx context.Context) (carrier.Result, time.Duration) {
-		if !r.joinBody(args) {
+		reserved, whole := r.joinBody(args)
+		defer r.offers.release(reserved)
+		if !whole {
 			// No later message of the attempt is executed either, so the refusal is true.
 			return carrier.Refuse(carrier.LinkBusy), 0
 		}
@@ -38,18 +40,18 @@
 	return nil
 }
 
-// joinBody puts the pieces that were received before in front of the body, and reports whether that
-// is whole. It makes the offer of the body void.
-func (r *Receiver) joinBody(args *AttemptArgs) bool {
+// joinBody puts the pieces that were received before in front of the body, and returns the memory that
+// is reserved for them and whether the body is whole. It makes the offer of the body void.
+func (r *Receiver) joinBody(args *AttemptArgs) (int64, bool) {
 	if args.Offset == 0 {
 		if isLarge(args.Job) {
 			r.offers.remove(args.AttemptID, carrier.CallerGone)
 		}
-		return true
+		return 0, true
 	}
-	pieces, whole := r.offers.take(args.AttemptID, args.Offset)
+	pieces, reserved, whole := r.offers.take(args.AttemptID, args.Offset)
 	args.Job.Call.Body = append(pieces, args.Job.Call.Body...)
-	return whole
+	return reserved, whole
 }
 
 // Run does the same for a sender that states no latest start. Its copies are recognized for a
--- a/internal/proxy/forwarder/offers.go
+++ b/internal/proxy/forwarder/offers.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/tamarackscale/tamarackscale/internal/kernel/accountant"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/carrier"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/executor"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/fencer"
@@ -19,6 +20,8 @@
 type offer struct {
 	*shaper.Offer
 	job executor.Job
+	// reserved is the memory that is reserved for body.
+	reserved int64
 	// body holds the pieces that were received.
 	body []byte
 	// withdrawn ends when the offer is void: its caller has left, another offer of the attempt has
@@ -38,6 +41,8 @@
 // use.
 type offers struct {
 	executor *executor.Executor
+	// account is nil if the memory of pieces is not accounted.
+	account *accountant.Account
 
 	mu     sync.Mutex
 	shaper *shaper.Shaper
@@ -107,6 +112,13 @@
 	if o == nil || len(o.body) != args.Offset || len(args.Bytes) != o.Granted {
 		return nil, false
 	}
+	if size := growth * int64(len(args.Bytes)); s.account != nil {
+		if !s.account.Reserve(accountant.Messages, size) {
+			s.removeLocked(args.AttemptID, o, carrier.MemoryFull)
+			return nil, false
+		}
+		o.reserved += size
+	}
 	o.body = append(o.body, args.Bytes...)
 	s.shaper.Continue(o.Offer, now)
 	s.lookLater()
@@ -114,16 +126,25 @@
 }
 
 // take makes the offer of an attempt void, whose last message has arrived, and returns the body that
-// came before. It reports whether that has the given length.
-func (s *offers) take(id fencer.AttemptID, length int) ([]byte, bool) {
+// came before with the memory reserved for it, which the caller must release. It reports whether the
+// body has the given length.
+func (s *offers) take(id fencer.AttemptID, length int) (body []byte, reserved int64, whole bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o := s.open[id]
 	if o == nil {
-		return nil, false
+		return nil, 0, false
 	}
+	reserved, o.reserved = o.reserved, 0
 	s.removeLocked(id, o, carrier.CallerGone)
-	return o.body, len(o.body) == length
+	return o.body, reserved, len(o.body) == length
+}
+
+// release releases the memory of a body that take has returned.
+func (s *offers) release(reserved int64) {
+	if s.account != nil {
+		s.account.Release(accountant.Messages, reserved)
+	}
 }
 
 // await waits until the offer is settled and returns the number of granted bytes, or the refusal. The
@@ -170,6 +191,7 @@
 	delete(s.open, id)
 	o.expiry.Stop()
 	o.withdraw(&withdrawal{reason})
+	s.release(o.reserved)
 	s.shaper.Withdraw(o.Offer, time.Now())
 }
 
