--- a/internal/observe/reporter/reporter.go
+++ b/internal/observe/reporter/reporter.go
@@ -72,13 +72,18 @@
 	// limited reports whether the upstream names a rate limit.
 	limited atomic.Bool
 
+	// rollouts is nil unless the node rolls versions out.
+	rollouts *rolloutMetrics
+
 	onVersion atomic.Pointer[func(int64, string)]
 
-	// mu protects the limiters.
+	// mu protects the fields below.
 	mu            sync.Mutex
 	callLimiter   *limiter
 	memberLimiter *limiter
 	inputLimiter  *limiter
+	// versions holds the pairs of service and version that have metrics of their own.
+	versions map[[2]string]bool
 }
 
 // latencyBuckets are in seconds.
@@ -95,6 +100,7 @@
 		callLimiter:   newLimiter(callLinesPerSecond),
 		memberLimiter: newLimiter(memberLinesPerSecond),
 		inputLimiter:  newLimiter(inputLinesPerSecond),
+		versions:      map[[2]string]bool{},
 	}
 	r.callTime = histogram("tamarackscale_call_seconds", "Whole time of a call.", "service", "rank", "outcome")
 	r.upstreamTime = histogram("tamarackscale_upstream_seconds", "Time of a hand-over at the upstream.", "service")
--- a/internal/observe/reporter/rollouts.go
+++ b/internal/observe/reporter/rollouts.go
@@ -1,12 +1,82 @@
 package reporter
 
 import (
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"github.com/tamarackscale/tamarackscale/internal/proxy/balancer"
+	"github.com/tamarackscale/tamarackscale/internal/release/assigner"
 	"github.com/tamarackscale/tamarackscale/internal/release/judger"
 	"github.com/tamarackscale/tamarackscale/internal/release/stepper"
 )
 
+// maxVersions bounds the number of pairs of service and version in metrics. Others are counted together
+// under otherVersions.
+const (
+	maxVersions   = 64
+	otherVersions = "other"
+)
+
+// rolloutMetrics are the metrics of a node that rolls versions out.
+type rolloutMetrics struct {
+	attempts *prometheus.CounterVec
+	controls prometheus.Gauge
+	plans    func() []assigner.Plan
+	share    *prometheus.Desc
+	phase    *prometheus.Desc
+}
+
+// RegisterRollouts adds the metrics of rollouts. Plans returns the plans that the node has received last.
+// It must be called before any other method that concerns rollouts.
+func (r *Reporter) RegisterRollouts(plans func() []assigner.Plan) {
+	labels := []string{"service", "version"}
+	r.rollouts = &rolloutMetrics{
+		attempts: counter("tamarackscale_version_hand_overs_total", "Hand-overs by version of the upstream and how they ended.", "service", "version", "result"),
+		controls: gauge("tamarackscale_rollout_controller", "1 if the node is the rollout controller, else 0."),
+		plans:    plans,
+		share:    prometheus.NewDesc("tamarackscale_rollout_share", "Share of the calls for the version by the node's last plan.", labels, nil),
+		phase:    prometheus.NewDesc("tamarackscale_rollout_phase", "Phase of the rollout of the version by the node's last plan.", labels, nil),
+	}
+	r.registry.MustRegister(r.rollouts.attempts, r.rollouts.controls, r.rollouts)
+}
+
+// Describe implements prometheus.Collector.
+func (m *rolloutMetrics) Describe(descriptions chan<- *prometheus.Desc) {
+	descriptions <- m.share
+	descriptions <- m.phase
+}
+
+// Collect implements prometheus.Collector.
+func (m *rolloutMetrics) Collect(metrics chan<- prometheus.Metric) {
+	for _, p := range m.plans() {
+		metrics <- prometheus.MustNewConstMetric(m.share, prometheus.GaugeValue, p.Share, p.Service, p.Target)
+		metrics <- prometheus.MustNewConstMetric(m.phase, prometheus.GaugeValue, float64(p.Phase), p.Service, p.Target)
+	}
+}
+
+// VersionEnded counts an attempt by the version of its upstream.
+func (r *Reporter) VersionEnded(m balancer.Member, o balancer.Outcome) {
+	result := "other"
+	switch {
+	case o.Answered:
+		result = "answered"
+	case o.Failed && !o.Full:
+		result = "failed"
+	}
+	version := m.Version
+	pair := [2]string{m.Service, version}
+	r.mu.Lock()
+	if !r.versions[pair] {
+		if len(r.versions) < maxVersions {
+			r.versions[pair] = true
+		} else {
+			version = otherVersions
+		}
+	}
+	r.mu.Unlock()
+	r.rollouts.attempts.WithLabelValues(m.Service, version, result).Inc()
+}
+
 // OrderSeen implements controller.Observer.
 func (r *Reporter) OrderSeen(o stepper.Order) {
 	r.log.WithFields(orderFields("rolloutOrdered", o)).WithField("limitSeconds", o.Limit.Seconds()).Info("order to roll a version out")
@@ -27,6 +97,11 @@
 
 // Controls implements controller.Observer.
 func (r *Reporter) Controls(controls bool) {
+	value := 0.0
+	if controls {
+		value = 1
+	}
+	r.rollouts.controls.Set(value)
 	r.log.WithFields(logrus.Fields{"event": "rolloutController", "controls": controls}).Info("node has become the rollout controller or ceased to be it")
 }
 
--- a/internal/operator/commander/commander.go
+++ b/internal/operator/commander/commander.go
@@ -55,6 +55,7 @@
 	Globals
 	Bundle   bundleCommands   `cmd:"" help:"Check, create, sign and compare versions."`
 	Rollout  rolloutCommands  `cmd:"" help:"Roll versions out and follow them."`
+	Release  releaseCommands  `cmd:"" help:"Look at rollouts of services' versions."`
 	Node     nodeCommands     `cmd:"" help:"Look at nodes."`
 	Key      keyCommands      `cmd:"" help:"Make operators' keys."`
 	Settings settingsCommands `cmd:"" help:"Check settings of nodes."`
--- a/internal/operator/commander/commander_test.go
+++ b/internal/operator/commander/commander_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
@@ -24,6 +26,7 @@
 		{"--operator eva bundle sign 1 --key /nonexistent.pem", "no such file"},
 		{"bundle check /nonexistent.yaml", "no such file"},
 		{"bundle check ../../bundle/checker/testdata/types.yaml", "types.yaml:3: field availabilityZone not found"},
+		{"release status nonsense", `"nonsense" is not an address of the form IP:port`},
 		{"settings check ../../settings/loader/testdata/types.yaml /nonexistent.yaml", "nonexistent.yaml"},
 	}
 	t.Setenv("TAMARACKSCALE_OPERATOR", "")
@@ -36,3 +39,25 @@
 		})
 	}
 }
+
+// Guards against a state that operators can't see, or only at the controller.
+func TestReleaseStatusShowsWhatRolloutWaitsFor(t *testing.T) {
+	page := `{"followed":[{"service":"a","target":"v2","phase":"canary","share":0.06,"why":"too few answers on route r","inForce":true},
+		{"service":"b","target":"v3","phase":"whole","share":1,"why":"","inForce":false}],
+		"controlled":[{"service":"a","target":"v2","phase":"rollingBack","share":0,"elapsedSeconds":3.5,"limitSeconds":16,
+		"why":"the version answers badly","calls":900,"targetCalls":50,"evidence":{"Route":"r","Upstreams":3,"Answers":20,"Bad":9,"Expected":1.5}}]}`
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /rollouts", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(page)) })
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	Convey("The rows have the reasons", t, func() {
+		var stdout, stderr bytes.Buffer
+		address := strings.TrimPrefix(server.URL, "http://")
+		code := commander.Run(context.Background(), "test", []string{"release", "status", address}, &stdout, &stderr)
+		So(stderr.String(), ShouldBeEmpty)
+		So(code, ShouldEqual, commander.ExitOK)
+		So(stdout.String(), ShouldContainSubstring, "9 of 20 answers of 3 upstreams are bad, 1.5 expected")
+		So(stdout.String(), ShouldContainSubstring, "plan has expired")
+		So(strings.Count(stdout.String(), "v2"), ShouldEqual, 1)
+	})
+}
--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -135,7 +135,7 @@
 		},
 	})
 	if p.rollouts != nil {
-		p.dispatcher.Versions = p.rollouts.assigner
+		p.dispatcher.Versions = countedVersions{p.rollouts.assigner, p.telemetry}
 	}
 	p.acceptor = acceptor.New(platform.HTTP{}, p.dispatcher, p.telemetry)
 	p.telemetry.OnVersion(p.subscriber.Hint)
@@ -206,7 +206,7 @@
 		if err != nil {
 			return err
 		}
-		p.serveHTTP(metrics, p.telemetry.Handler())
+		p.serveHTTP(metrics, p.operatorHandler())
 	}
 	if p.rollouts != nil {
 		go p.rollouts.controller.Run(ctx)
--- a/internal/proxy/assembler/rollouts.go
+++ b/internal/proxy/assembler/rollouts.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/tamarackscale/tamarackscale/internal/observe/reporter"
 	"github.com/tamarackscale/tamarackscale/internal/platform/keeper"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/balancer"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/forwarder"
@@ -31,6 +33,7 @@
 func (p *Proxy) buildRollouts() error {
 	p.rollouts = &rollouts{assigner: assigner.New(p.forwarder.Sender())}
 	p.messenger = versionedMessenger{p.forwarder}
+	p.telemetry.RegisterRollouts(p.rollouts.assigner.Plans)
 	return errors.Wrap(p.receiver.Register(rolloutService, &rolloutMethods{p}), "register RPC methods of rollouts")
 }
 
@@ -77,6 +80,32 @@
 	return reply
 }
 
+// rolloutsPath is the path of the operators' page about rollouts, beside the metrics.
+const rolloutsPath = "/rollouts"
+
+// operatorHandler serves the metrics and, if the node rolls versions out, the page about that.
+func (p *Proxy) operatorHandler() http.Handler {
+	if p.rollouts == nil {
+		return p.telemetry.Handler()
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/", p.telemetry.Handler())
+	mux.Handle("GET "+rolloutsPath, p.rollouts.controller.Handler(p.rollouts.assigner.Plans))
+	return mux
+}
+
+// countedVersions counts the attempts by version.
+type countedVersions struct {
+	*assigner.Assigner
+	telemetry *reporter.Reporter
+}
+
+// Ended implements dispatcher.Versions.
+func (c countedVersions) Ended(m balancer.Member, o balancer.Outcome, now time.Time) {
+	c.Assigner.Ended(m, o, now)
+	c.telemetry.VersionEnded(m, o)
+}
+
 // versionedMessenger exchanges member records that have versions. A node that does not roll versions
 // out, such as one of an earlier release, gets and sends records without.
 type versionedMessenger struct{ *forwarder.Forwarder }
--- a/internal/release/assigner/assigner.go
+++ b/internal/release/assigner/assigner.go
@@ -25,9 +25,9 @@
 	maxRows     = 1000
 	// recentAnswers is the number of latest answers that a node judges the target by, and minRecentBad
 	// the number of bad ones among them that make it hold back. At a rate of bad answers of 8 % for
-	// another reason, 2 of 1,000 windows have as many.
-	recentAnswers = 8
-	minRecentBad  = 4
+	// another reason, 1 of 100 windows has as many.
+	recentAnswers = 6
+	minRecentBad  = 3
 	// heldMargin is by how much the fraction of bad answers must exceed the established version's,
 	// and heldShare what is left of the share then.
 	heldMargin = 0.4
--- a/internal/release/controller/controller.go
+++ b/internal/release/controller/controller.go
@@ -423,33 +423,3 @@
 		r.receive(peerOf(m), own, time.Now())
 	}
 }
-
-// State is the state of a rollout at the controller, for operators.
-type State struct {
-	Order    stepper.Order
-	Phase    stepper.Phase
-	Share    float64
-	Elapsed  time.Duration
-	Why      string
-	Calls    int
-	Target   int
-	Evidence judger.Evidence
-	Bad      bool
-	Suspects []string
-}
-
-// States returns the states of the rollouts that this node controls, sorted by service.
-func (c *Controller) States(now time.Time) []State {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var states []State
-	for _, service := range sortedKeys(c.rollouts) {
-		r := c.rollouts[service]
-		calls, target := r.calls()
-		states = append(states, State{
-			Order: r.order.Order, Phase: r.phase(), Share: r.step.Share, Elapsed: r.elapsed(now), Why: r.step.Why,
-			Calls: calls, Target: target, Evidence: r.verdict.Evidence, Bad: r.verdict.Bad, Suspects: r.verdict.Suspects,
-		})
-	}
-	return states
-}
--- a/internal/release/controller/rollout.go
+++ b/internal/release/controller/rollout.go
@@ -218,6 +218,8 @@
 			verdict.Bad, verdict.Evidence = true, recent.Evidence
 		}
 	}
+	slices.Sort(verdict.Suspects)
+	verdict.Suspects = slices.Compact(verdict.Suspects)
 	r.history = append(r.history, sums{at: now, answers: answers})
 	return verdict
 }
--- a/internal/release/stepper/stepper.go
+++ b/internal/release/stepper/stepper.go
@@ -53,16 +53,17 @@
 	// canaryFraction and rampFraction are the shares of the first phases as fractions of the bound
 	// of exposure. The whole share adds more than ten times that bound per time, so the canary must
 	// leave two fifths of the bound for the time until a fault is found in the last phases.
-	canaryFraction = 0.6
-	rampFraction   = 2.5
+	canaryFraction = 0.55
+	rampFraction   = 2
 	// canaryEnd is when the canary ends, and latestRamp when it ends even if a route lacks answers,
 	// as fractions of the limit.
 	canaryEnd  = 0.56
 	latestRamp = 0.6
-	// rampTime and wholeTime are how long these phases last at least: two exchanges with all nodes,
-	// the second of which reports answers of the phase.
+	// rampTime and wholeTime are how long these phases last at least. In each all nodes report answers
+	// of the phase. The whole share is the shorter: with 800 ms, one replay in twelve of a version that
+	// turns bad in that phase exceeded the bound.
 	rampTime  = 800 * time.Millisecond
-	wholeTime = 800 * time.Millisecond
+	wholeTime = 600 * time.Millisecond
 	// minCanaryTime is how long the version is observed at least: many faults show after 3 s.
 	minCanaryTime = 4 * time.Second
 	// minTurn and maxTurn bound how long the canary stays at the same upstreams.
