--- a/internal/proxy/assembler/release_test.go
+++ b/internal/proxy/assembler/release_test.go
@@ -78,7 +78,9 @@
 func (r *release) order(version string, limit time.Duration) {
 	value, err := json.Marshal(map[string]any{"service": "a", "target_version": version, "step_s": limit.Seconds()})
 	So(err, ShouldBeNil)
+	r.mu.Lock()
 	r.ordered = time.Now()
+	r.mu.Unlock()
 	r.m.Store.Put(releaseOrderKey, value)
 }
 
