balancer, assigner: looking for upstreams of a version allocates nothing

Cause: after a rollout that is done each call made a list of the version's upstreams.

Measured: tests of balancer, dispatcher, assembler and release pass.

--- a/internal/proxy/balancer/balancer_test.go
+++ b/internal/proxy/balancer/balancer_test.go
@@ -273,11 +273,14 @@
 				b.Update(members[(first+i)%len(members)])
 			}
 			So(b.EstablishedVersion("s"), ShouldEqual, "v1")
-			So(b.OfVersion("s", "v2"), ShouldHaveLength, 2)
+			So(b.Knows("s", "v2", false), ShouldBeTrue)
+			So(b.Knows("s", "v3", true), ShouldBeFalse)
 			draining := versioned("a", "v1", 1)
 			draining.Sequence, draining.Draining = 2, true
 			b.Update(draining)
 			So(b.EstablishedVersion("s"), ShouldEqual, "v2")
+			So(b.Knows("s", "v1", false), ShouldBeFalse)
+			So(b.Knows("s", "v1", true), ShouldBeTrue)
 		}
 	})
 	Convey("A record without its version does not hide it", t, func() {
--- a/internal/proxy/balancer/version.go
+++ b/internal/proxy/balancer/version.go
@@ -84,13 +84,13 @@
 	return false
 }
 
-// OfVersion returns the members of a service whose upstream has a version, in no particular order.
-func (b *Balancer) OfVersion(service, version string) []Member {
-	var members []Member
+// Knows reports whether an upstream of a version of a service is known that does not drain, or any at
+// all if draining ones count too.
+func (b *Balancer) Knows(service, version string, draining bool) bool {
 	for _, c := range b.services[service] {
-		if c.Version == version {
-			members = append(members, c.Member)
+		if c.Version == version && (draining || !c.Draining) {
+			return true
 		}
 	}
-	return members
+	return false
 }
--- a/internal/release/assigner/assigner.go
+++ b/internal/release/assigner/assigner.go
@@ -169,7 +169,7 @@
 
 func (a *Assigner) established(b *balancer.Balancer, name string) string {
 	done := a.done[name]
-	if done != "" && slices.ContainsFunc(b.OfVersion(name, done), func(m balancer.Member) bool { return !m.Draining }) {
+	if done != "" && b.Knows(name, done, false) {
 		return done
 	}
 	return b.EstablishedVersion(name)
@@ -200,7 +200,7 @@
 	}
 	established := info.Versions
 	info.Versions = filter
-	if !b.Available(*info, now) && (!settling || len(b.OfVersion(info.Service, s.plan.Target)) == 0) {
+	if !b.Available(*info, now) && (!settling || !b.Knows(info.Service, s.plan.Target, true)) {
 		info.Versions = established
 	}
 }
