--- a/internal/operator/commander/commander.go
+++ b/internal/operator/commander/commander.go
@@ -57,6 +57,7 @@
 	Globals
 	Bundle   bundleCommands   `cmd:"" help:"Check, create, sign and compare versions."`
 	Rollout  rolloutCommands  `cmd:"" help:"Roll versions out and follow them."`
+	Release  releaseCommands  `cmd:"" help:"Look at rollouts of services' versions."`
 	Node     nodeCommands     `cmd:"" help:"Look at nodes."`
 	Explain  explainCommand   `cmd:"" help:"Show where a node would send a request now and why, without sending it."`
 	Key      keyCommands      `cmd:"" help:"Make operators' keys."`
--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -151,7 +151,7 @@
 		Budget: budgetOf(p.bounds), ExtraWork: extraWork(s),
 	}
 	if p.rollouts != nil {
-		calls.Versions = p.rollouts.assigner
+		calls.Versions = countedVersions{p.rollouts.assigner, p.telemetry}
 	}
 	if p.granter != nil {
 		calls.Quotas = p.granter
@@ -247,7 +247,7 @@
 		if err != nil {
 			return err
 		}
-		p.serveHTTP(p.account.Listen(metrics, "metrics", parts.Small, ""), p.metricsHandler())
+		p.serveHTTP(p.account.Listen(metrics, "metrics", parts.Small, ""), p.operatorHandler())
 	}
 	if p.rollouts != nil {
 		go p.rollouts.controller.Run(ctx)
--- a/internal/proxy/assembler/explain.go
+++ b/internal/proxy/assembler/explain.go
@@ -14,10 +14,14 @@
 	return e
 }
 
-// metricsHandler serves the metrics and explanations of requests.
-func (p *Proxy) metricsHandler() http.Handler {
+// operatorHandler serves the metrics, explanations of requests and, if the node rolls versions out, the
+// page about that.
+func (p *Proxy) operatorHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(explainer.Path, explainer.Handler(p.Explain))
 	mux.Handle("/", p.telemetry.Handler())
+	mux.Handle(explainer.Path, explainer.Handler(p.Explain))
+	if p.rollouts != nil {
+		mux.Handle("GET "+rolloutsPath, p.rollouts.controller.Handler(p.rollouts.assigner.Plans))
+	}
 	return mux
 }
--- a/internal/proxy/assembler/release_test.go
+++ b/internal/proxy/assembler/release_test.go
@@ -78,7 +78,9 @@
 func (r *release) order(version string, limit time.Duration) {
 	value, err := json.Marshal(map[string]any{"service": "a", "target_version": version, "step_s": limit.Seconds()})
 	So(err, ShouldBeNil)
+	r.mu.Lock()
 	r.ordered = time.Now()
+	r.mu.Unlock()
 	r.m.Store.Put(releaseOrderKey, value)
 }
 
@@ -278,6 +280,9 @@
 		{"down at first", 300 * time.Millisecond, func(s *metastore.Store) { s.SetFaults(metastore.Faults{Unavailable: true}) }, 4500 * time.Millisecond},
 		{"down in canary", 5 * time.Second, func(s *metastore.Store) { s.SetFaults(metastore.Faults{Unresponsive: true}) }, 4500 * time.Millisecond},
 		{"down in the large steps", 9500 * time.Millisecond, func(s *metastore.Store) { s.SetFaults(metastore.Faults{Unavailable: true}) }, 4500 * time.Millisecond},
+		{"down when it is nearly done", 10300 * time.Millisecond, func(s *metastore.Store) { s.SetFaults(metastore.Faults{Unavailable: true}) }, 4500 * time.Millisecond},
+		{"slow at first", 0, func(s *metastore.Store) { s.SetFaults(metastore.Faults{Delay: 900 * time.Millisecond}) }, 6 * time.Second},
+		{"slow at the end", 9 * time.Second, func(s *metastore.Store) { s.SetFaults(metastore.Faults{Delay: 900 * time.Millisecond}) }, 6 * time.Second},
 		{"slow", 2 * time.Second, func(s *metastore.Store) { s.SetFaults(metastore.Faults{Delay: 500 * time.Millisecond}) }, 10 * time.Second},
 		{"answers of writes lost", 0, func(s *metastore.Store) { s.SetFaults(metastore.Faults{LoseWrites: true}) }, 3 * time.Second},
 		{"answers of writes lost at the end", 9500 * time.Millisecond, func(s *metastore.Store) { s.SetFaults(metastore.Faults{LoseWrites: true}) }, 3 * time.Second},
--- a/internal/release/assigner/assigner.go
+++ b/internal/release/assigner/assigner.go
@@ -25,9 +25,9 @@
 	maxRows     = 1000
 	// recentAnswers is the number of latest answers that a node judges the target by, and minRecentBad
 	// the number of bad ones among them that make it hold back. At a rate of bad answers of 8 % for
-	// another reason, 2 of 1,000 windows have as many.
-	recentAnswers = 8
-	minRecentBad  = 4
+	// another reason, 1 of 100 windows has as many.
+	recentAnswers = 6
+	minRecentBad  = 3
 	// heldMargin is by how much the fraction of bad answers must exceed the established version's,
 	// and heldShare what is left of the share then.
 	heldMargin = 0.4
@@ -160,7 +160,7 @@
 }
 
 // Established returns the established version of a service: that of the last rollout that is known to
-// be done, if there still is an upstream of it, otherwise that of the upstream that started first.
+// be done, if an upstream of it is left that does not drain, otherwise that of the upstream that started first.
 func (a *Assigner) Established(b *balancer.Balancer, name string) string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -168,7 +168,8 @@
 }
 
 func (a *Assigner) established(b *balancer.Balancer, name string) string {
-	if done := a.done[name]; done != "" && len(b.OfVersion(name, done)) > 0 {
+	done := a.done[name]
+	if done != "" && b.Knows(name, done, false) {
 		return done
 	}
 	return b.EstablishedVersion(name)
@@ -199,7 +200,7 @@
 	}
 	established := info.Versions
 	info.Versions = filter
-	if !b.Available(*info, now) && (!settling || len(b.OfVersion(info.Service, s.plan.Target)) == 0) {
+	if !b.Available(*info, now) && (!settling || !b.Knows(info.Service, s.plan.Target, true)) {
 		info.Versions = established
 	}
 }
