balancer: no hedge where the answer costs more than it is worth

A large answer from another zone would be fetched twice. Candidates whose utility is not above 0 get no hedges; that includes full, ejected and draining ones, whose penalties see to it.

--- a/internal/proxy/assembler/hedge_test.go
+++ b/internal/proxy/assembler/hedge_test.go
@@ -144,3 +144,31 @@
 		So(metricsOf(near), ShouldContainSubstring, `tamarackscale_hedges_denied_total{reason="extraWork",service="a"}`)
 	})
 }
+
+// Guards against attempts that go on after the caller of a hedged call has disconnected.
+func TestDisconnectCancelsBothAttempts(t *testing.T) {
+	inHedgingMesh(t, []string{"x", "y"}, &reader.Hedging{ExtraWork: 0.05}, func(m *mesh.Mesh) {
+		near := nodesOf(m, "b")[0]
+		for _, n := range m.Nodes {
+			n.Upstream.SetBehaviour(20*time.Millisecond, nil)
+		}
+		for range 10 {
+			primeEstimates(near, http.MethodGet, readPrefix)
+		}
+		for _, n := range nodesOf(m, "a") {
+			n.Upstream.SetBehaviour(3*time.Second, nil)
+		}
+		conn, err := near.Connect()
+		So(err, ShouldBeNil)
+		So(conn.Send(mesh.Request(http.MethodGet, host, readPrefix, "left", 5*time.Second)), ShouldBeNil)
+		time.Sleep(300 * time.Millisecond)
+		So(runCount(m, "left"), ShouldEqual, 2)
+		So(conn.Close(), ShouldBeNil)
+		time.Sleep(500 * time.Millisecond)
+		for _, n := range nodesOf(m, "a") {
+			So(n.Upstream.Cancelled(), ShouldEqual, 1)
+			So(n.Proxy.Load().InUse, ShouldEqual, 0)
+		}
+		So(metricsOf(near), ShouldContainSubstring, `tamarackscale_hedges_ended_total{cancelled="false",result="failed",service="a"} 1`)
+	})
+}
--- a/internal/proxy/balancer/balancer_test.go
+++ b/internal/proxy/balancer/balancer_test.go
@@ -315,6 +315,14 @@
 			}
 			So(target(), ShouldEqual, "other zone")
 		})
+		Convey("is not hedged in another zone if its answer is large", func() {
+			record("own zone", Outcome{Full: true})
+			So(target(), ShouldEqual, "other zone")
+			for range 20 {
+				record("other zone", Outcome{Answered: true, UpstreamTime: 50 * time.Millisecond, Bytes: 400_000})
+			}
+			So(target(), ShouldEqual, "")
+		})
 		Convey("is not hedged at a full or unreachable upstream", func() {
 			record("own zone", Outcome{Full: true})
 			So(target(), ShouldEqual, "other zone")
--- a/internal/proxy/balancer/explain.go
+++ b/internal/proxy/balancer/explain.go
@@ -13,10 +13,10 @@
 	Chosen bool
 	// Ejected, Full and Cold report the state for the call's class. Draining counts what the member
 	// and its load state.
-	Ejected  bool
-	Full     bool
-	Draining bool
-	Cold     bool
+	Ejected     bool
+	Full        bool
+	Draining    bool
+	Cold        bool
 	Utility     float64
 	Expected    time.Duration
 	ServiceTime time.Duration
@@ -39,7 +39,7 @@
 		views = append(views, View{
 			Member: c.Member, Load: c.load, Chosen: c == chosen,
 			Ejected: now.Before(c.ejectedUntil), Full: c.full(info.Class, now), Draining: c.Draining || c.load.Draining,
-			Cold: now.UnixMilli() < c.ColdUntil,
+			Cold:    now.UnixMilli() < c.ColdUntil,
 			Utility: b.utility(c, info, expected, now), Expected: expected, ServiceTime: b.serviceTime(c, info.Kind, now),
 			Wait: c.load.Waits[info.Class], FailureRate: c.currentFailureRate(now), InFlight: c.inFlight,
 			LoadAt: c.loadAt, MeasuredAt: c.serviceTimes[info.Kind].sampledAt,
--- a/internal/proxy/balancer/hedge.go
+++ b/internal/proxy/balancer/hedge.go
@@ -11,8 +11,9 @@
 const slowZoneFactor = 1.5
 
 // ForHedge returns the call with further nodes excluded, so that Pick returns an upstream that may
-// get a hedge: not on the VM of one that has been sent the call, not full, ejected or draining, and in
-// another zone if calls of the kind are slow in the own one.
+// get a hedge: not on the VM of one that has been sent the call, not full, ejected or draining, in
+// another zone if calls of the kind are slow in the own one, and not where the answer costs more than it
+// is worth, as a large one from another zone does.
 func (b *Balancer) ForHedge(info PickInfo, now time.Time) PickInfo {
 	hosts := make([]string, 0, len(info.Tried))
 	for _, node := range info.Tried {
@@ -25,7 +26,9 @@
 	slow := b.isSlowZone(info, now)
 	excluded := slices.Clip(info.Tried)
 	for _, c := range b.services[info.Service] {
-		if (slow && c.Zone == b.zone) || !c.takesHedges(info, now) || slices.Contains(hosts, hostOf(c.Address)) {
+		// The penalties make the utility of a full, ejected or draining upstream 0 at most.
+		useful := b.utility(c, info, b.expectedTime(c, info, now), now) > 0
+		if (slow && c.Zone == b.zone) || !useful || slices.Contains(hosts, hostOf(c.Address)) {
 			excluded = append(excluded, c.Node)
 		}
 	}
