--- a/internal/kernel/accountant/accountant.go
+++ b/internal/kernel/accountant/accountant.go
@@ -78,9 +78,9 @@
 // fractions of the memory beyond BaseBytes that are kept for one purpose each. What is large shares
 // poolFraction. The sum leaves a sixth for garbage that is not collected yet, for stacks and for the
 // fragmentation of the heap.
-var fractions = [purposes]float64{Connections: 0.14, SmallHeads: 0.02, SmallBodies: 0.05, SmallMessages: 0.03, SmallAnswers: 0.04, Urgent: 0.03}
+var fractions = [purposes]float64{Connections: 0.20, SmallHeads: 0.02, SmallBodies: 0.05, SmallMessages: 0.03, SmallAnswers: 0.04, Urgent: 0.03}
 
-const poolFraction = 0.52
+const poolFraction = 0.47
 
 // poolFractions bound what one purpose may take of the pool, so that bodies leave room for the messages and
 // answers without which they would not be released. At 184 MB, the memory of the smallest VM, each holds an
@@ -333,6 +333,13 @@
 // Holds reports whether anything is held for a purpose.
 func (r *Reservation) Holds(p Purpose) bool { return r.held[p] > 0 }
 
+// Keep releases what is held for a purpose beyond n bytes.
+func (r *Reservation) Keep(p Purpose, n int64) {
+	if excess := r.held[p] - n; excess > 0 {
+		r.Shrink(p, excess)
+	}
+}
+
 // Shrink releases n bytes of a purpose.
 func (r *Reservation) Shrink(p Purpose, n int64) {
 	r.add(p, -n)
--- a/internal/proxy/acceptor/conn.go
+++ b/internal/proxy/acceptor/conn.go
@@ -107,7 +107,7 @@
 			return
 		}
 		received := time.Now()
-		call := c.acceptor.dialect.DecodeCall(request, body)
+		call := c.decode(request, body)
 		c.raw.AddBusy(1)
 		c.pipelined <- struct{}{}
 		if !c.state.accept() {
--- a/internal/proxy/acceptor/cost_test.go
+++ b/internal/proxy/acceptor/cost_test.go
@@ -8,7 +8,6 @@
 	"testing"
 
 	"github.com/tamarackscale/tamarackscale/internal/kernel/accountant"
-	"github.com/tamarackscale/tamarackscale/platform"
 )
 
 // costs are the shapes of requests whose memory BenchmarkHeapPerByteSent measures.
@@ -59,7 +58,7 @@
 		if err != nil {
 			tb.Fatal(err)
 		}
-		results[i] = platform.HTTP{}.DecodeCall(request, body)
+		results[i] = c.decode(request, body)
 	}
 	runtime.GC()
 	runtime.ReadMemStats(&after)
--- a/internal/proxy/acceptor/input.go
+++ b/internal/proxy/acceptor/input.go
@@ -129,6 +129,16 @@
 	return request, nil
 }
 
+// fieldBytes is what one field of a call holds, beyond what the parsing of its line takes.
+const fieldBytes = 96
+
+// decode returns the call of a request. What its head took beyond the fields of the call is released.
+func (c *conn) decode(request *http.Request, body []byte) carrier.Call {
+	call := c.acceptor.dialect.DecodeCall(request, body)
+	c.memory.Keep(accountant.Heads, int64(len(call.Fields))*fieldBytes)
+	return call
+}
+
 // readBody reads a body that is not empty into memory that is reserved as it arrives.
 func (c *conn) readBody(request *http.Request, limit int64) ([]byte, error) {
 	c.limit.Remaining = maxChunkOverhead*limit + readBufferBytes
--- a/internal/proxy/acceptor/input_test.go
+++ b/internal/proxy/acceptor/input_test.go
@@ -57,7 +57,20 @@
 	if err != nil {
 		tb.Fatal(err)
 	}
-	return newConn(New(nil, bounds{}, nil, account), raw), account
+	return newConn(New(decoder{}, bounds{}, nil, account), raw), account
+}
+
+// decoder keeps the fields of a request, as the dialects of the product do.
+type decoder struct{ Dialect }
+
+func (decoder) DecodeCall(r *http.Request, body []byte) carrier.Call {
+	call := carrier.Call{Body: body}
+	for name, values := range r.Header {
+		for _, value := range values {
+			call.Fields = append(call.Fields, carrier.Field{Name: name, Value: value})
+		}
+	}
+	return call
 }
 
 var seeds = []string{
