--- a/internal/proxy/acceptor/cost_test.go
+++ b/internal/proxy/acceptor/cost_test.go
@@ -87,3 +87,20 @@
 		})
 	}
 }
+
+// Calls whose heads do not fit into the share of small heads must count for their handling too, or
+// pipelined calls exceed the memory of the process.
+func TestCallIsCountedWhileSmallHeadsAreFull(t *testing.T) {
+	c, account := newInput(t, []byte(costs[0].text))
+	account.Take(accountant.SmallHeads, account.Usage(accountant.SmallHeads).Limit)
+	closed := make(chan struct{})
+	close(closed)
+	request, body, err := c.readRequest(closed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.decode(request, body)
+	if used := account.Usage(accountant.Heads).Used; used < headStep {
+		t.Errorf("%d bytes are counted for a call", used)
+	}
+}
