--- a/internal/proxy/dispatcher/dispatcher.go
+++ b/internal/proxy/dispatcher/dispatcher.go
@@ -121,9 +121,9 @@
 
 // Versions assigns attempts to versions of a service and is notified of them.
 type Versions interface {
-	// Restrict restricts an attempt to upstreams of a version. It is called with the balancer's lock
+	// Restrict returns the versions that an attempt may go to. It is called with the balancer's lock
 	// held.
-	Restrict(b *balancer.Balancer, info *balancer.PickInfo, now time.Time)
+	Restrict(b *balancer.Balancer, info balancer.PickInfo, now time.Time) balancer.VersionFilter
 	// Began is called when an attempt has been assigned to a member, Ended when it has ended.
 	Began(m balancer.Member)
 	Ended(m balancer.Member, o balancer.Outcome, now time.Time)
@@ -284,7 +284,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	d.restrict(&info, now)
+	info.Versions = d.versions(info, now)
 	if retry && (!d.Balancer.Available(info, now) || !d.retrier.Allow(info.Service, d.Balancer.Size(), now)) {
 		return nil, balancer.Member{}
 	}
@@ -333,13 +333,14 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	d.restrict(&info, now)
+	info.Versions = d.versions(info, now)
 	return d.Balancer.HasCapacity(info, now)
 }
 
-// restrict restricts an attempt to upstreams of a version. The caller holds the lock.
-func (d *Dispatcher) restrict(info *balancer.PickInfo, now time.Time) {
-	if d.Versions != nil {
-		d.Versions.Restrict(d.Balancer, info, now)
+// versions returns the versions that an attempt may go to. The caller holds the lock.
+func (d *Dispatcher) versions(info balancer.PickInfo, now time.Time) balancer.VersionFilter {
+	if d.Versions == nil {
+		return balancer.VersionFilter{}
 	}
+	return d.Versions.Restrict(d.Balancer, info, now)
 }
--- a/internal/release/assigner/assigner.go
+++ b/internal/release/assigner/assigner.go
@@ -177,32 +177,33 @@
 
 // Restrict implements dispatcher.Versions. Only the first attempt of a call goes to the target, until
 // the rollout settles: what fails there is tried again at the established version.
-func (a *Assigner) Restrict(b *balancer.Balancer, info *balancer.PickInfo, now time.Time) {
+func (a *Assigner) Restrict(b *balancer.Balancer, info balancer.PickInfo, now time.Time) balancer.VersionFilter {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	info.Versions = balancer.VersionFilter{Version: a.established(b, info.Service)}
+	established := balancer.VersionFilter{Version: a.established(b, info.Service)}
 	s := a.services[info.Service]
 	if s == nil {
-		return
+		return established
 	}
-	filter := balancer.VersionFilter{Version: s.plan.Target, Exact: true, Nodes: s.nodes}
+	target := balancer.VersionFilter{Version: s.plan.Target, Exact: true, Nodes: s.nodes}
 	settling := stepper.Phase(s.plan.Phase) == stepper.Settling
 	if !now.Before(s.until) {
-		if settling && !b.Responsive(*info, now) {
+		info.Versions = established
+		if settling && !b.Responsive(info, now) {
 			// The controller may have ended when it had recorded that the rollout is done, and the
 			// platform has stopped the former upstreams.
-			info.Versions = filter
+			return target
 		}
-		return
+		return established
 	}
 	if !settling && (len(info.Tried) > 0 || !s.take(info.Kind, a.random)) {
-		return
+		return established
 	}
-	established := info.Versions
-	info.Versions = filter
-	if !b.Available(*info, now) && (!settling || !b.Knows(info.Service, s.plan.Target, true)) {
-		info.Versions = established
+	info.Versions = target
+	if !b.Available(info, now) && (!settling || !b.Knows(info.Service, s.plan.Target, true)) {
+		return established
 	}
+	return target
 }
 
 // take reports whether a call on a route goes to the target. The calls in between are evenly spaced.
--- a/internal/release/assigner/assigner_test.go
+++ b/internal/release/assigner/assigner_test.go
@@ -36,7 +36,7 @@
 	target := 0
 	for range calls {
 		info := balancer.PickInfo{Service: "s", Kind: "k", Objective: time.Second, Remaining: time.Second, Tried: tried}
-		a.Restrict(b, &info, at)
+		info.Versions = a.Restrict(b, info, at)
 		c := b.Pick(info, at)
 		a.Began(c.Member)
 		if c.Version == "v2" {
--- a/internal/release/controller/replay_test.go
+++ b/internal/release/controller/replay_test.go
@@ -119,7 +119,7 @@
 func (r *replay) call(node int, route string, tried []string, tick int, now time.Time) {
 	elapsed := now.Sub(begin)
 	info := balancer.PickInfo{Service: "s", Kind: route, Objective: time.Second, Remaining: 4 * time.Second, Tried: tried}
-	r.nodes[node].Restrict(r.balancers[node], &info, now)
+	info.Versions = r.nodes[node].Restrict(r.balancers[node], info, now)
 	c := r.balancers[node].Pick(info, now)
 	if c == nil {
 		return
