--- a/internal/proxy/dispatcher/dispatcher.go
+++ b/internal/proxy/dispatcher/dispatcher.go
@@ -139,9 +139,9 @@
 
 // Versions assigns attempts to versions of a service and is notified of them.
 type Versions interface {
-	// Restrict restricts an attempt to upstreams of a version. It is called with the balancer's lock
+	// Restrict returns the versions that an attempt may go to. It is called with the balancer's lock
 	// held.
-	Restrict(b *balancer.Balancer, info *balancer.PickInfo, now time.Time)
+	Restrict(b *balancer.Balancer, info balancer.PickInfo, now time.Time) balancer.VersionFilter
 	// Began is called when an attempt has been assigned to a member, Ended when it has ended.
 	Began(m balancer.Member)
 	Ended(m balancer.Member, o balancer.Outcome, now time.Time)
@@ -322,7 +322,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	d.restrict(&info, now)
+	info.Versions = d.versions(info, now)
 	var a pendingAttempt
 	if retry {
 		allowed := d.Balancer.Available(info, now)
@@ -387,9 +387,10 @@
 	return d.Balancer.MeanServiceTime(service, kind)
 }
 
-// restrict restricts an attempt to upstreams of a version. The caller holds the lock.
-func (d *Dispatcher) restrict(info *balancer.PickInfo, now time.Time) {
-	if d.Versions != nil {
-		d.Versions.Restrict(d.Balancer, info, now)
+// versions returns the versions that an attempt may go to. The caller holds the lock.
+func (d *Dispatcher) versions(info balancer.PickInfo, now time.Time) balancer.VersionFilter {
+	if d.Versions == nil {
+		return balancer.VersionFilter{}
 	}
+	return d.Versions.Restrict(d.Balancer, info, now)
 }
--- a/internal/proxy/dispatcher/hedge.go
+++ b/internal/proxy/dispatcher/hedge.go
@@ -166,7 +166,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	d.restrict(&info, now)
+	info.Versions = d.versions(info, now)
 	if d.hedger != nil {
 		info = d.Balancer.ForHedge(info, now)
 	}
