--- a/internal/account/rationer/bucket.go
+++ b/internal/account/rationer/bucket.go
@@ -111,7 +111,7 @@
 
 // capacity is the number of tokens that the bucket holds at most.
 func (b *Bucket) capacity() float64 {
-	return max(1, b.limit.Burst+burstFraction*b.bounds.excess(b.limit))
+	return max(1, b.limit.Burst+min(maxBurstCalls, burstFraction*b.bounds.excess(b.limit)))
 }
 
 // advance adds the tokens of the time since the last call. Those for silent nodes are left out.
@@ -140,7 +140,7 @@
 
 // free returns the rate for which nothing is reserved.
 func (b *Bucket) free() float64 {
-	return silentFraction * b.bounds.excess(b.limit) / b.bounds.Window.Seconds()
+	return min(maxSilentCalls, silentFraction*b.bounds.excess(b.limit)) / b.bounds.Window.Seconds()
 }
 
 // reserve adds up what silent nodes may be using, and forgets those whose time is over.
--- a/internal/account/rationer/holder.go
+++ b/internal/account/rationer/holder.go
@@ -14,9 +14,9 @@
 	tokenTime = time.Second
 	// demandTime is the time constant of the exponential decay of the counted calls.
 	demandTime = time.Second
-	// horizon is the time for whose expected calls a node asks for tokens in advance. With 500 ms the
-	// tokens held when a zone was cut off took the largest account 38 calls over its quota.
-	horizon = 250 * time.Millisecond
+	// horizon is the time for whose expected calls a node asks for tokens in advance. With 250 ms the
+	// largest account of the replays takes an exchange for each call.
+	horizon = 600 * time.Millisecond
 	// retryInterval is the interval between asks of an owner that has not replied.
 	retryInterval = 250 * time.Millisecond
 	// refusalTime bounds for how long a node refuses calls without asking again.
@@ -104,7 +104,9 @@
 // SetLimit changes the quota. Tokens that are held were granted within the former one.
 func (h *Holder) SetLimit(limit Limit) { h.limit = limit }
 
-// Offer admits a call, refuses it or makes it wait. NextAsk must be called afterwards.
+// Offer admits a call, refuses it or makes it wait. NextAsk must be called afterwards. While the owner is
+// lost, one call in each retryInterval waits for it: a node with few calls would otherwise refuse its
+// next one although there is an owner again.
 func (h *Holder) Offer(t *Ticket, now time.Time) {
 	h.demand = h.demand*decay(now.Sub(h.demandAt), demandTime) + 1
 	h.demandAt = now
@@ -113,7 +115,7 @@
 		t.Settled <- Verdict{Admitted: true, Over: h.over}
 	case now.Before(h.deniedUntil):
 		t.Settled <- h.refuse(now)
-	case h.lost || (h.asking && now.Sub(h.askedAt) >= MaxWait):
+	case (h.lost && !h.asking && now.Sub(h.askedAt) < retryInterval) || (h.asking && now.Sub(h.askedAt) >= MaxWait):
 		t.Settled <- h.fallback(now)
 	default:
 		h.waiting = append(h.waiting, t)
@@ -164,7 +166,7 @@
 	h.expire(now)
 	expected := int(h.demand * decay(now.Sub(h.demandAt), demandTime) / demandTime.Seconds() * horizon.Seconds())
 	held := h.held()
-	if len(h.waiting) == 0 && !h.lost && (expected == 0 || held > expected/2 || now.Before(h.advanceAfter)) {
+	if len(h.waiting) == 0 && !h.lost && (expected == 0 || held > expected/4 || now.Before(h.advanceAfter)) {
 		return Ask{}, false
 	}
 	ask := Ask{Need: len(h.waiting), Expect: max(0, expected-held), Returned: h.returned}
--- a/internal/account/rationer/rationer.go
+++ b/internal/account/rationer/rationer.go
@@ -41,6 +41,10 @@
 	// them. The rest covers tokens that nodes hold and the time until a silence is noticed.
 	burstFraction  = 0.3
 	silentFraction = 0.3
+	// maxBurstCalls and maxSilentCalls bound the two: large accounts gain nothing by more, and their
+	// nodes hold more tokens.
+	maxBurstCalls  = 20.0
+	maxSilentCalls = 20.0
 	// shareTime is the time constant of the exponential decay of the tokens that a node was granted.
 	shareTime = 4 * time.Second
 	// fallbackTime is how long a node without contact to the owner admits calls at the rate that the
