--- a/internal/proxy/assembler/bench_test.go
+++ b/internal/proxy/assembler/bench_test.go
@@ -130,7 +130,7 @@
 		Listen:   reader.Listen{Callers: at(0), Readiness: at(1), Control: at(2), Ports: []int{port + 3, port + 4}},
 		Platform: reader.Platform{Address: store},
 		Upstream: reader.Upstream{Service: service, Address: upstream},
-		Quotas:   &reader.Quotas{Window: decoder.Duration(5 * time.Second), Excess: 0.1, Slack: 20},
+		Quotas:   &reader.Quotas{WindowSeconds: 5, Excess: 0.1, Slack: 20},
 		Bounds: reader.Bounds{
 			DrainTime: decoder.Duration(2 * time.Second), Grace: decoder.Duration(6 * time.Second),
 			RetryRatio: 0.2, RetrySlack: 56, RetryWindow: decoder.Duration(10 * time.Second),
