assembler: New in named steps

It now calls newBase, buildExecutor, buildPeerTransport and buildCallPath. Each component has the same dependencies as before.

--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -107,8 +107,30 @@
 // New builds a proxy; Start runs it. It returns an error if the RPC methods for other
 // nodes can't be registered.
 func New(config Config) (*Proxy, error) {
+	p := newBase(config)
 	s := config.Settings
-	p := &Proxy{bounds: s.Bounds, network: config.Network, incarnation: time.Now().UnixNano(), known: make(chan struct{}), ownDrains: recorder.New(recorder.MaxOwnDrains), peerDrains: recorder.New(maxPeerDrains)}
+	p.buildExecutor(s)
+	if err := p.buildPeerTransport(s); err != nil {
+		return nil, err
+	}
+	p.isolation = p.newIsolation()
+	p.buildStoreClients(s)
+	if err := p.buildQuotas(s.Quotas); err != nil {
+		return nil, errors.Wrap(err, "register the service of quotas")
+	}
+	p.buildCallPath(s)
+	p.UpdateMember(p.Self())
+	return p, nil
+}
+
+// newBase returns a proxy that has its state, its account of memory and its reporter, but no other
+// components.
+func newBase(config Config) *Proxy {
+	s := config.Settings
+	p := &Proxy{
+		bounds: s.Bounds, network: config.Network, incarnation: time.Now().UnixNano(), known: make(chan struct{}),
+		ownDrains: recorder.New(recorder.MaxOwnDrains), peerDrains: recorder.New(maxPeerDrains),
+	}
 	if p.network == nil {
 		p.network = dialer.TCP{KeepAlive: keepAlive}
 	}
@@ -117,53 +139,66 @@
 	p.account = accountant.New(int64(s.Limits.MemoryOrDefault()) << 20)
 	p.telemetry = reporter.New(s.Node.ID, s.Node.AvailabilityZone, config.Output)
 	p.telemetry.ObserveAccount(p.account)
+	return p
+}
+
+// buildExecutor builds the executor of calls at the upstream beside the node.
+func (p *Proxy) buildExecutor(s *reader.Settings) {
 	p.executor = executor.New(executor.Config{
 		Dialect: platform.HTTP{}, Dial: p.network.Dial, DrainTime: p.bounds.DrainTime.Std(), Changed: p.publishSelf,
 		Observe: p.telemetry, Restarted: !s.FirstStart, Account: p.account,
 		Budget: budgetOf(p.bounds), Members: p.memberCount, LinkRate: s.Node.LinkRate * bytesPerMegabit,
+		// The dispatcher is built after the executor.
 		Admit: func(kind string, rank int, now time.Time) (time.Duration, bool) {
 			return p.dispatcher.Admit(kind, rank, now)
 		},
 	})
+}
+
+// buildPeerTransport builds the components that exchange messages with other nodes, including those of
+// rollouts. It returns an error if the RPC methods can't be registered.
+func (p *Proxy) buildPeerTransport(s *reader.Settings) error {
 	p.forwarder = forwarder.New(s.Node.ID, p.incarnation, p.network.Dial)
 	var err error
 	p.receiver, err = forwarder.NewReceiver(p.incarnation, p.executor, p)
 	if err != nil {
-		return nil, errors.Wrap(err, "register RPC methods for other nodes")
-	}
-	p.messenger = p.forwarder
-	if s.Rollouts != nil {
-		if err := p.buildRollouts(); err != nil {
-			return nil, err
-		}
+		return errors.Wrap(err, "register RPC methods for other nodes")
 	}
 	p.receiver.ShapeLink(s.Node.LinkRate)
-	p.isolation = p.newIsolation()
 	p.receiver.UseAccount(p.account)
-	p.buildStoreClients(s)
-	if err := p.buildQuotas(s.Quotas); err != nil {
-		return nil, errors.Wrap(err, "register the service of quotas")
+	p.messenger = p.forwarder
+	if s.Rollouts == nil {
+		return nil
 	}
-	calls := dispatcher.Config{
+	return p.buildRollouts()
+}
+
+// buildCallPath builds the components that calls of callers pass. Those that it uses must exist.
+func (p *Proxy) buildCallPath(s *reader.Settings) {
+	p.dispatcher = dispatcher.New(p.dispatcherConfig(s))
+	p.acceptor = acceptor.New(platform.HTTP{}, p.dispatcher, p.telemetry, p.account)
+	p.telemetry.OnVersion(p.subscriber.Hint)
+	p.forwarder.OnUnresponsive(func(address string) {
+		p.dispatcher.WithBalancer(func(b *balancer.Balancer) { b.Suspect(address, time.Now()) })
+	})
+}
+
+// dispatcherConfig returns the dependencies of the dispatcher.
+func (p *Proxy) dispatcherConfig(s *reader.Settings) dispatcher.Config {
+	config := dispatcher.Config{
 		Node: s.Node.ID, Service: func() string { return p.settings.Load().Upstream.Service },
 		Table: p.subscriber.Table, Forward: p.forwarder, Execute: p.executor, Observe: p.telemetry, Identities: platform.HTTP{},
 		Balancer: balancer.New(s.Node.AvailabilityZone).WithLink(s.Node.ID, s.Node.LinkRate), End: p.callsEnd,
 		Budget: budgetOf(p.bounds), ExtraWork: extraWork(s),
 	}
+	// A nil pointer in these interfaces would count as present.
 	if p.rollouts != nil {
-		calls.Versions = countedVersions{p.rollouts.assigner, p.telemetry}
+		config.Versions = countedVersions{p.rollouts.assigner, p.telemetry}
 	}
 	if p.granter != nil {
-		calls.Quotas = p.granter
+		config.Quotas = p.granter
 	}
-	p.dispatcher = dispatcher.New(calls)
-	p.acceptor = acceptor.New(platform.HTTP{}, p.dispatcher, p.telemetry, p.account)
-	p.telemetry.OnVersion(p.subscriber.Hint)
-	p.forwarder.OnUnresponsive(func(address string) {
-		p.dispatcher.WithBalancer(func(b *balancer.Balancer) { b.Suspect(address, time.Now()) })
-	})
-	p.UpdateMember(p.Self())
-	return p, nil
+	return config
 }
 
 // extraWork returns the limit of hedges; nil if the settings name none.
