router: the route of an urgent request is found like that of any other

IsUrgent matched routes a second time and went through all of them for the most urgent rank at each request. It now uses Route, and the rank is computed once for a table. Its rule had no test.

--- a/internal/proxy/router/router.go
+++ b/internal/proxy/router/router.go
@@ -85,6 +85,8 @@
 	// hosts holds the entries of each host in lower case, the longest prefix first.
 	hosts    map[string][]*entry
 	services map[string]Service
+	// lowestRank is the rank of the most urgent routes.
+	lowestRank int
 	// accounts is nil if the configuration has none.
 	accounts *accounts
 }
@@ -111,7 +113,9 @@
 // the splitter state of the previous table, which may be nil. Traffic splits of other routes
 // begin at positions that the seed determines.
 func New(c Configuration, previous *Table, seed uint64) *Table {
-	t := &Table{Configuration: c, hosts: map[string][]*entry{}, services: map[string]Service{}}
+	t := &Table{
+		Configuration: c, hosts: map[string][]*entry{}, services: map[string]Service{}, lowestRank: lowestRank(c.Routes),
+	}
 	for _, service := range c.Services {
 		t.services[service.Name] = service
 	}
