stepper: a rollout whose version has lost its upstreams is not done

While a rollout was settling, it was recorded as done when all nodes had confirmed and nothing ran at the established version, even if no upstream of the target took calls any more. The platform would then have stopped the established upstreams too. TestSteps fails before.

--- a/internal/release/stepper/stepper.go
+++ b/internal/release/stepper/stepper.go
@@ -159,10 +159,11 @@
 	s.phase, s.since, s.why = phase, elapsed, why
 }
 
-// Ended returns the final phase that is to be recorded now, and whether there is one.
+// Ended returns the final phase that is to be recorded now, and whether there is one. A rollout whose
+// version has lost its upstreams is not done: the platform would then stop the established ones too.
 func (s *Stepper) Ended(in Input) (Phase, bool) {
 	switch {
-	case s.phase == Settling && in.Confirmed && in.Quiet:
+	case s.phase == Settling && in.Confirmed && in.Quiet && len(in.Upstreams) > 0:
 		return Done, true
 	case s.phase == RollingBack && (in.Confirmed || in.Elapsed-s.since > confirmTimeout || in.Limit-in.Elapsed < doneMargin):
 		return RolledBack, true
--- a/internal/release/stepper/stepper_test.go
+++ b/internal/release/stepper/stepper_test.go
@@ -65,6 +65,16 @@
 			_, is = s.Ended(busy)
 			So(is, ShouldBeFalse)
 		})
+		Convey("is not done, but rolled back at the end, if its upstreams stop while it is settling", func() {
+			run(s, 12*time.Second, nil)
+			in := at(12 * time.Second)
+			in.Upstreams = nil
+			So(s.Next(in).Phase, ShouldEqual, Settling)
+			_, is := s.Ended(in)
+			So(is, ShouldBeFalse)
+			in.Elapsed = 15700 * time.Millisecond
+			So(s.Next(in).Phase, ShouldEqual, RollingBack)
+		})
 		Convey("does not rise without the store or the nodes' confirmation, and is rolled back at the end", func() {
 			for _, change := range []func(in *Input){
 				func(in *Input) { in.StoreResponds = false }, func(in *Input) { in.Confirmed = false },
