--- a/internal/settings/reader/reader.go
+++ b/internal/settings/reader/reader.go
@@ -89,7 +89,7 @@
 
 // Limits are the resources of the VM that the process may use.
 type Limits struct {
-	// Memory is in megabytes; 0 if unknown.
+	// Memory is in megabytes; 0 if unknown, see MemoryOrDefault.
 	Memory int `yaml:"memory"`
 	// Descriptors is the number of open file descriptors; 0 means the limit of the process.
 	Descriptors int `yaml:"descriptors"`
@@ -103,12 +103,12 @@
 	return l.Memory
 }
 
-// defaultMemory is in megabytes.
+// defaultMemory is the memory of the smallest VM in megabytes.
 const defaultMemory = 184
 
 // Quotas bounds by how much the calls of a client account may exceed its quota in any period of
 // WindowSeconds, over all nodes: by the fraction Excess of the quota, and by Slack calls. A section
-// of null values counts as absent.
+// whose values are all null or 0 counts as absent.
 type Quotas struct {
 	// WindowSeconds is 1 to 3600.
 	WindowSeconds float64 `yaml:"windowSeconds"`
@@ -119,8 +119,8 @@
 // Window returns the period.
 func (q *Quotas) Window() time.Duration { return secondsOf(q.WindowSeconds) }
 
-// Rollouts bounds what a faulty version of a service may receive while it is rolled out. A section of
-// null values counts as absent.
+// Rollouts bounds what a faulty version of a service may receive while it is rolled out. A section
+// whose values are all null or 0 counts as absent.
 type Rollouts struct {
 	// ExposureShare is the fraction of the service's calls during the rollout that may go to the
 	// version, above 0 and at most 1; ExposureSlack is a number of calls beyond that.
@@ -168,7 +168,7 @@
 	return &s, nil
 }
 
-// dropEmptySections removes the sections whose values are all null, as a template leaves them for a
+// dropEmptySections removes the sections whose values are all null or 0, as a template leaves them for a
 // deployment that does not set them.
 func (s *Settings) dropEmptySections() {
 	if s.Quotas != nil && *s.Quotas == (Quotas{}) {
