assigner: rollouts that have ended make room for others

A node kept the plan and the counts of every service that was ever rolled out, and ignored plans of further ones from the 64th on; their rollouts ended as rolled back at the limit. When there is no place, one that has ended and whose plan has expired is removed. TestEndedRolloutsLeaveRoomForOthers fails before.

--- a/internal/release/assigner/assigner.go
+++ b/internal/release/assigner/assigner.go
@@ -94,7 +94,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	s := a.services[p.Service]
-	if s == nil && len(a.services) >= maxServices {
+	if s == nil && len(a.services) >= maxServices && !a.removeEnded(now) {
 		return
 	}
 	if s != nil && (p.Epoch < s.plan.Epoch || (p.Epoch == s.plan.Epoch && p.Sequence < s.plan.Sequence)) {
@@ -115,6 +115,18 @@
 	}
 }
 
+// removeEnded removes a service whose rollout has ended and whose plan has expired. It reports whether
+// there was one. The established version stays known.
+func (a *Assigner) removeEnded(now time.Time) bool {
+	for name, s := range a.services {
+		if stepper.Phase(s.plan.Phase).Final() && !now.Before(s.until) {
+			delete(a.services, name)
+			return true
+		}
+	}
+	return false
+}
+
 // apply takes over a plan.
 func (s *service) apply(p Plan, now time.Time) {
 	if ordered := now.Add(-p.Elapsed); ordered.Before(s.ordered) {
--- a/internal/release/assigner/assigner_test.go
+++ b/internal/release/assigner/assigner_test.go
@@ -142,3 +142,29 @@
 		So(r.OtherInFlight, ShouldEqual, 0)
 	})
 }
+
+// A node that has taken part in rollouts of many services must take part in the next one: its controller
+// would wait for the confirmation until the limit.
+func TestEndedRolloutsLeaveRoomForOthers(t *testing.T) {
+	Convey("After as many rollouts as a node keeps", t, func() {
+		a := New(1)
+		apply := func(name string, phase stepper.Phase, at time.Time) bool {
+			p := plan(phase, 1)
+			p.Service = name
+			a.Apply(p, at)
+			_, inForce := a.Plan(name, at)
+			return inForce
+		}
+		for i := range maxServices - 1 {
+			So(apply(fmt.Sprint("ended-", i), stepper.Done, now), ShouldBeTrue)
+		}
+		So(apply("running", stepper.Canary, now), ShouldBeTrue)
+		later := now.Add(time.Minute)
+		So(apply("running", stepper.Canary, later), ShouldBeTrue)
+		So(apply("next", stepper.Canary, later), ShouldBeTrue)
+		_, inForce := a.Plan("running", later)
+		So(inForce, ShouldBeTrue)
+		So(a.done, ShouldHaveLength, maxServices-1)
+		So(a.services, ShouldHaveLength, maxServices)
+	})
+}
