rationer: extreme quotas neither grant negative tokens nor state negative waits

Levels and waits were converted to integers before they were bounded; with rate_per_s 1e300 a node got - tokens on x86-64, and with 1e-12 the wait was negative. TestExtremeQuotas fails before.

--- a/internal/account/rationer/bucket.go
+++ b/internal/account/rationer/bucket.go
@@ -21,6 +21,9 @@
 	// irregularly, so that at just their mean rate a node that gets few refuses half of them.
 	fallbackFactor = 2.0
 	fallbackLevel  = 0.5
+	// maxTokens bounds the tokens of one grant. A quota may be a number that no int holds, and what its
+	// conversion gives differs between processors.
+	maxTokens = 1 << 30
 	// overTime is how long after a refusal an account counts as over its quota.
 	overTime = time.Second
 	// reservationInterval is how long a sum of reservations is used before it is computed again.
@@ -160,8 +163,8 @@
 func (b *Bucket) Grant(node string, ask Ask, now time.Time) Grant {
 	b.advance(now)
 	b.level = min(b.capacity(), b.level+float64(max(0, ask.Returned)))
-	extra := min(max(0, ask.Expect), int(maxExtraFraction*b.level))
-	tokens := min(max(0, ask.Need)+extra, int(b.level))
+	extra := min(max(0, ask.Expect), whole(maxExtraFraction*b.level))
+	tokens := min(max(0, ask.Need)+extra, whole(b.level))
 	b.level -= float64(tokens)
 	m := b.members[node]
 	if m == nil {
@@ -181,6 +184,9 @@
 	return grant
 }
 
+// whole returns the number of whole tokens, at most maxTokens.
+func whole(level float64) int { return int(min(level, maxTokens)) }
+
 // Take takes a token for a call of the owner itself.
 func (b *Bucket) Take(now time.Time) Verdict {
 	b.advance(now)
@@ -210,9 +216,10 @@
 	}
 	b.refusedAt = now
 	rate := max(b.fillRate(now), isolatedFraction*b.limit.Rate)
-	wait := max(0, 1+b.promised-b.level) / rate
-	b.promised = min(b.promised+float64(refused), rate*b.bounds.Window.Seconds())
-	return min(time.Duration(wait*float64(time.Second)), b.bounds.Window)
+	window := b.bounds.Window.Seconds()
+	wait := min(max(0, 1+b.promised-b.level)/rate, window)
+	b.promised = min(b.promised+float64(refused), rate*window)
+	return time.Duration(wait * float64(time.Second))
 }
 
 // Silent returns the nodes, in order, that have to be asked to release what is reserved for them, since
--- a/internal/account/rationer/rationer_test.go
+++ b/internal/account/rationer/rationer_test.go
@@ -222,3 +222,21 @@
 		So(Owner("a", nil), ShouldEqual, -1)
 	})
 }
+
+// A quota that is meant as none, such as 1e300, must not refuse calls, and one that is hardly any must not
+// make the wait of a refused call negative.
+func TestExtremeQuotas(t *testing.T) {
+	Convey("A bucket whose level no integer holds grants tokens", t, func() {
+		begun := time.Unix(1000, 0)
+		now := begun.Add(time.Second)
+		b := NewBucket(Bounds{Window: 5 * time.Second, Excess: 0.1, Slack: 20}, Limit{Rate: 1e300, Burst: 1e300}, begun, now)
+		grant := b.Grant("n", Ask{Need: 3, Expect: 2}, now)
+		So(grant.Tokens, ShouldEqual, 5)
+		So(grant.Wait, ShouldEqual, 0)
+	})
+	Convey("A bucket whose next token no duration reaches states the longest wait", t, func() {
+		now := time.Unix(1000, 0)
+		b := NewBucket(Bounds{Window: 5 * time.Second}, Limit{Rate: 1e-12}, now, now)
+		So(b.Grant("n", Ask{Need: 1}, now).Wait, ShouldEqual, 5*time.Second)
+	})
+}
