--- a/internal/node/listener/accounted.go
+++ b/internal/node/listener/accounted.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -16,6 +17,8 @@
 	// maxReadBytes bounds what is read ahead of a body. It exceeds the largest body of a call, which the
 	// handler refuses if it is longer.
 	maxReadBytes = 2 << 20
+	// bodyTimeout bounds the time for what is read ahead of a body, which holds memory meanwhile.
+	bodyTimeout = 30 * time.Second
 	// retryAfterSeconds is how long the sender of a request waits that was refused for lack of memory.
 	retryAfterSeconds = "1"
 )
@@ -40,6 +43,9 @@
 		return
 	}
 	if r.ContentLength != 0 {
+		deadline := http.NewResponseController(w)
+		// Not every ResponseWriter of a test supports it.
+		_ = deadline.SetReadDeadline(time.Now().Add(bodyTimeout))
 		data, err := memory.ReadAll(r.Body, accountant.BodySizes, r.ContentLength, maxReadBytes)
 		switch {
 		case errors.Is(err, accountant.ErrFull):
@@ -47,6 +53,10 @@
 			return
 		case errors.Is(err, accountant.ErrTooLong):
 			err = nil
+		case err == nil:
+			// The server reads on to notice that the client leaves. After an error, the deadline ends the
+			// discarding of the rest.
+			_ = deadline.SetReadDeadline(time.Time{})
 		}
 		r.Body = &Body{Reader: io.MultiReader(bytes.NewReader(data), &failing{r.Body, err}), Closer: r.Body}
 	}
--- a/internal/node/listener/accounted_test.go
+++ b/internal/node/listener/accounted_test.go
@@ -3,9 +3,13 @@
 import (
 	"bytes"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -45,3 +49,50 @@
 		})
 	})
 }
+
+// A client that stops in the middle of a body must not hold its memory for ever: a few of them would make
+// the server refuse all others.
+func TestBodyThatStopsReleasesItsMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("A body that stops short of its end", t, func() {
+			account := accountant.New(184 << 20)
+			client, conn := net.Pipe()
+			l := New(Config{Name: "s", Handler: http.NotFoundHandler(), Account: account, Listen: func() (net.Listener, error) {
+				return &pipeListener{conn: conn, done: make(chan struct{})}, nil
+			}})
+			So(l.Start(t.Context()), ShouldBeNil)
+			go func() { _, _ = io.Copy(io.Discard, client) }()
+			_, err := io.WriteString(client, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n"+strings.Repeat("x", 100_000))
+			So(err, ShouldBeNil)
+			synctest.Wait()
+			So(account.Usage(accountant.Bodies).Used, ShouldBeGreaterThan, 0)
+			time.Sleep(bodyTimeout + time.Second)
+			So(account.Usage(accountant.Bodies).Used, ShouldEqual, 0)
+			So(account.Usage(accountant.Connections).Used, ShouldEqual, 0)
+			_ = client.Close()
+			So(l.Stop(t.Context()), ShouldBeNil)
+		})
+	})
+}
+
+// pipeListener accepts one connection.
+type pipeListener struct {
+	conn net.Conn
+	done chan struct{}
+}
+
+func (p *pipeListener) Accept() (net.Conn, error) {
+	if conn := p.conn; conn != nil {
+		p.conn = nil
+		return conn, nil
+	}
+	<-p.done
+	return nil, net.ErrClosed
+}
+
+func (p *pipeListener) Close() error {
+	close(p.done)
+	return nil
+}
+
+func (p *pipeListener) Addr() net.Addr { return &net.IPAddr{} }
