--- a/internal/account/authenticator/authenticator.go
+++ b/internal/account/authenticator/authenticator.go
@@ -7,6 +7,7 @@
 package authenticator
 
 import (
+	"cmp"
 	"crypto/hmac"
 	"crypto/rand"
 	"crypto/sha256"
@@ -76,15 +77,7 @@
 	// secret, so that its time tells them nothing about keys.
 	prefix := binary.BigEndian.Uint64(digest[:])
 	at, _ := slices.BinarySearchFunc(x.entries, prefix, func(e entry, prefix uint64) int {
-		other := binary.BigEndian.Uint64(e.digest[:])
-		switch {
-		case other < prefix:
-			return -1
-		case other > prefix:
-			return 1
-		default:
-			return 0
-		}
+		return cmp.Compare(binary.BigEndian.Uint64(e.digest[:]), prefix)
 	})
 	for ; at < len(x.entries) && binary.BigEndian.Uint64(x.entries[at].digest[:]) == prefix; at++ {
 		if subtle.ConstantTimeCompare(x.entries[at].digest[:], digest[:]) == 1 {
@@ -109,10 +102,7 @@
 }
 
 func (h *hasher) sum(text string) (digest [sha256.Size]byte) {
-	mac, isHash := h.pool.Get().(hash.Hash)
-	if !isHash {
-		return digest
-	}
+	mac := h.pool.Get().(hash.Hash)
 	defer h.pool.Put(mac)
 	mac.Reset()
 	_, _ = mac.Write([]byte(text))
--- a/internal/account/rationer/holder.go
+++ b/internal/account/rationer/holder.go
@@ -19,8 +19,12 @@
 	horizon = 600 * time.Millisecond
 	// retryInterval is the interval between asks of an owner that has not replied.
 	retryInterval = 250 * time.Millisecond
-	// refusalTime bounds for how long a node refuses calls without asking again.
-	refusalTime = 200 * time.Millisecond
+	// advanceDivisor divides the expected calls: tokens are asked for in advance when a node holds no
+	// more than that part.
+	advanceDivisor = 4
+	// minRefusalTime and refusalTime bound for how long a node refuses calls without asking again.
+	minRefusalTime = 25 * time.Millisecond
+	refusalTime    = 200 * time.Millisecond
 	// burstTime is the time whose calls a node without contact may admit at once.
 	burstTime = 500 * time.Millisecond
 )
@@ -166,7 +170,7 @@
 	h.expire(now)
 	expected := int(h.demand * decay(now.Sub(h.demandAt), demandTime) / demandTime.Seconds() * horizon.Seconds())
 	held := h.held()
-	if len(h.waiting) == 0 && !h.lost && (expected == 0 || held > expected/4 || now.Before(h.advanceAfter)) {
+	if len(h.waiting) == 0 && !h.lost && (expected == 0 || held > expected/advanceDivisor || now.Before(h.advanceAfter)) {
 		return Ask{}, false
 	}
 	ask := Ask{Need: len(h.waiting), Expect: max(0, expected-held), Returned: h.returned}
@@ -198,7 +202,7 @@
 	if g.Tokens >= h.asked {
 		return
 	}
-	h.deniedUntil, h.refusals, h.wait = now.Add(min(max(g.Wait, retryInterval/10), refusalTime)), 0, g.Wait
+	h.deniedUntil, h.refusals, h.wait = now.Add(min(max(g.Wait, minRefusalTime), refusalTime)), 0, g.Wait
 	for _, t := range h.waiting {
 		t.Settled <- h.refuse(now)
 	}
--- a/internal/release/assigner/assigner.go
+++ b/internal/release/assigner/assigner.go
@@ -7,6 +7,7 @@
 package assigner
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -162,12 +163,7 @@
 	for _, s := range a.services {
 		plans = append(plans, s.plan)
 	}
-	slices.SortFunc(plans, func(p, other Plan) int {
-		if p.Service < other.Service {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(plans, func(p, other Plan) int { return cmp.Compare(p.Service, other.Service) })
 	return plans
 }
 
--- a/internal/release/controller/controller.go
+++ b/internal/release/controller/controller.go
@@ -8,6 +8,8 @@
 import (
 	"context"
 	"hash/crc32"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -43,7 +45,8 @@
 	// the former are still around.
 	doneLinger       = 10 * time.Second
 	rolledBackLinger = 2 * time.Second
-	// maxBurst is the number of nodes that are told of a step all at once.
+	// maxBurst is the number of nodes that are told of a step all at once. Those beyond it are told at
+	// their turn, so that a step does not exceed maxExchanges.
 	maxBurst = maxExchanges / 2
 	// storeTrustTime is how long after its last response the store counts as responding.
 	storeTrustTime = 1500 * time.Millisecond
@@ -105,7 +108,7 @@
 	// pending holds the statuses to be written, oldest first, by service.
 	pending map[string][]write
 	writing map[string]bool
-	// ends is when each rollout has ended.
+	// ends is when the final status of each rollout was written.
 	ends map[string]time.Time
 	// due is when each node is to be exchanged with next, busy whether an exchange is under way.
 	due  map[peer]time.Time
@@ -339,7 +342,7 @@
 		return
 	}
 	before, wasBad := r.phase(), r.verdict.Bad
-	final, is := r.decide(members, c.config.Exposure, c.storeResponds(now), now)
+	final, isDue := r.decide(members, c.config.Exposure, c.storeResponds(now), now)
 	if r.verdict.Bad && !wasBad {
 		c.config.Observe.Judged(r.order.Order, r.verdict.Evidence)
 	}
@@ -347,7 +350,7 @@
 		calls, target := r.calls()
 		c.config.Observe.Stepped(r.order.Order, r.step, calls, target)
 	}
-	if is && !c.recording(service, final) {
+	if isDue && !c.recording(service, final) {
 		state := stepper.StateDone
 		if final == stepper.RolledBack {
 			state = stepper.StateRolledBack
@@ -370,16 +373,7 @@
 	if len(c.rollouts) == 0 {
 		return
 	}
-	interval := exchangeInterval
-	for _, r := range c.rollouts {
-		switch phase := r.phase(); {
-		case phase == stepper.Settling:
-			interval = min(interval, settleInterval)
-		case phase == stepper.Ramp || phase == stepper.Whole:
-			interval = min(interval, fastInterval)
-		}
-	}
-	interval = max(interval, time.Duration(len(members))*time.Second/maxExchanges)
+	interval := c.interval(len(members))
 	for i, m := range members {
 		p := peerOf(m)
 		due, known := c.due[p]
@@ -397,13 +391,27 @@
 		}
 		c.busy[p] = true
 		args := &assigner.ExchangeArgs{}
-		for _, service := range sortedKeys(c.rollouts) {
+		for _, service := range slices.Sorted(maps.Keys(c.rollouts)) {
 			args.Plans = append(args.Plans, c.rollouts[service].plan(now))
 		}
 		go c.exchangeWith(ctx, m, args)
 	}
 }
 
+// interval returns the interval between exchanges with one of the members. The caller holds the lock.
+func (c *Controller) interval(members int) time.Duration {
+	interval := exchangeInterval
+	for _, r := range c.rollouts {
+		switch r.phase() {
+		case stepper.Settling:
+			interval = min(interval, settleInterval)
+		case stepper.Ramp, stepper.Whole:
+			interval = min(interval, fastInterval)
+		}
+	}
+	return max(interval, time.Duration(members)*time.Second/maxExchanges)
+}
+
 // exchangeWith exchanges with one member.
 func (c *Controller) exchangeWith(ctx context.Context, m balancer.Member, args *assigner.ExchangeArgs) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
--- a/internal/release/controller/page.go
+++ b/internal/release/controller/page.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/tamarackscale/tamarackscale/internal/release/assigner"
@@ -68,7 +70,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, service := range sortedKeys(c.rollouts) {
+	for _, service := range slices.Sorted(maps.Keys(c.rollouts)) {
 		r := c.rollouts[service]
 		calls, target := r.calls()
 		controlled := Controlled{
--- a/internal/release/controller/replay_test.go
+++ b/internal/release/controller/replay_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -168,7 +170,7 @@
 			}
 		}
 		delete(r.pending, tick)
-		for _, route := range sortedKeys(r.load.rates) {
+		for _, route := range slices.Sorted(maps.Keys(r.load.rates)) {
 			for expected := r.load.rates[route] * replayTick.Seconds(); expected > 0; expected-- {
 				if r.random.Float64() < expected {
 					r.call(r.random.IntN(replayNodes), route, nil, tick, now)
--- a/internal/release/controller/rollout.go
+++ b/internal/release/controller/rollout.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -86,8 +87,8 @@
 // plan.
 const inquiryTime = 400 * time.Millisecond
 
-// note adds the members that are not known yet.
-func (r *rollout) note(members []balancer.Member, now time.Time) {
+// addPeers adds the members that are not known yet.
+func (r *rollout) addPeers(members []balancer.Member, now time.Time) {
 	for _, m := range members {
 		if r.peers[peerOf(m)] == nil {
 			r.peers[peerOf(m)] = &peerState{seen: now}
@@ -136,7 +137,7 @@
 // decide moves the rollout on. It returns the final phase that is to be recorded, and whether there is
 // one. No plan is made before the nodes have been asked.
 func (r *rollout) decide(members []balancer.Member, exposure float64, storeResponds bool, now time.Time) (stepper.Phase, bool) {
-	r.note(members, now)
+	r.addPeers(members, now)
 	if r.stepper == nil {
 		if !r.allReplied(members) && now.Sub(r.asked) < inquiryTime {
 			return stepper.Waiting, false
@@ -278,7 +279,7 @@
 	}
 	r.sequence++
 	p.Sequence, p.Phase, p.Share, p.Why, p.Validity = r.sequence, int(r.stepper.Phase()), r.step.Share, r.step.Why, validity
-	for _, route := range sortedKeys(r.step.Routes) {
+	for _, route := range slices.Sorted(maps.Keys(r.step.Routes)) {
 		p.Routes = append(p.Routes, assigner.RouteShare{Route: route, Share: r.step.Routes[route]})
 	}
 	for _, node := range r.step.Nodes {
@@ -295,12 +296,3 @@
 	r.stepper.Close(phase, r.elapsed(now))
 	r.step = r.stepper.Next(stepper.Input{})
 }
-
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for key := range m {
-		keys = append(keys, key)
-	}
-	slices.Sort(keys)
-	return keys
-}
--- a/internal/release/judger/judger.go
+++ b/internal/release/judger/judger.go
@@ -9,6 +9,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 )
@@ -154,7 +155,7 @@
 	var verdict Verdict
 	all := map[string]sample{}
 	soundFraction := a.soundFraction()
-	for _, route := range sortedKeys(a.Target) {
+	for _, route := range slices.Sorted(maps.Keys(a.Target)) {
 		samples := a.samples(route, soundFraction)
 		for _, s := range samples {
 			all[s.upstream] = all[s.upstream].plus(s)
@@ -162,7 +163,7 @@
 		verdict.apply(route, samples, a.Upstreams)
 	}
 	var samples []sample
-	for _, upstream := range sortedKeys(all) {
+	for _, upstream := range slices.Sorted(maps.Keys(all)) {
 		s := all[upstream]
 		s.upstream = upstream
 		samples = append(samples, s)
@@ -181,7 +182,7 @@
 // fraction of its rate. The worst upstreams are left out, like those of the version that is rolled out.
 func (a Answers) soundFraction() float64 {
 	tallies := make([]*Tally, 0, len(a.Others))
-	for _, upstream := range sortedKeys(a.Others) {
+	for _, upstream := range slices.Sorted(maps.Keys(a.Others)) {
 		tallies = append(tallies, a.Others[upstream])
 	}
 	slices.SortStableFunc(tallies, func(t, other *Tally) int { return cmp.Compare(other.failureRate(), t.failureRate()) })
@@ -211,7 +212,7 @@
 	rate := float64(established.bad(slow)) / float64(max(1, established.Answers()))
 	rate = min(maxBaseline, baselineFactor*soundFraction*rate+baselineMargin)
 	var samples []sample
-	for _, upstream := range sortedKeys(a.Target[route]) {
+	for _, upstream := range slices.Sorted(maps.Keys(a.Target[route])) {
 		tally := a.Target[route][upstream]
 		n := float64(tally.Answers())
 		samples = append(samples, sample{
@@ -223,9 +224,8 @@
 }
 
 // apply adds what samples of a route show. The version is bad if the samples without the outliers are,
-// and if most upstreams show bad answers. The worst
-// upstream is an outlier in any case, others only if they alone are bad: where each has few answers, the
-// worst are so by chance.
+// and if most upstreams show bad answers. The worst upstream is an outlier in any case, others only if
+// they alone are bad: where each has few answers, the worst are so by chance.
 func (v *Verdict) apply(route string, samples []sample, upstreams int) {
 	slices.SortStableFunc(samples, func(a, b sample) int { return cmp.Compare(b.excess(), a.excess()) })
 	for _, s := range samples {
@@ -256,8 +256,8 @@
 }
 
 // mostShow reports whether several upstreams answer badly, and more than half of those with enough
-// answers to tell. A bad version is bad at all of them. Without this, two ill upstreams that the canary
-// reaches one after the other would make it bad.
+// answers to tell. A bad version is bad at all of them. Without this, two faulty upstreams that the canary
+// reaches one after the other would make a good version bad.
 func mostShow(samples []sample, upstreams int) bool {
 	showing, repeatedly, telling, tellingShow := 0, 0, 0, 0
 	for _, s := range samples {
@@ -288,7 +288,7 @@
 	for _, tally := range a.Established {
 		calls += tally.Answers()
 	}
-	for _, route := range sortedKeys(a.Established) {
+	for _, route := range slices.Sorted(maps.Keys(a.Established)) {
 		if float64(a.Established[route].Answers()) < rareRoute*float64(calls) {
 			continue
 		}
@@ -307,12 +307,3 @@
 	}
 	return sum
 }
-
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for key := range m {
-		keys = append(keys, key)
-	}
-	slices.Sort(keys)
-	return keys
-}
--- a/internal/release/stepper/stepper.go
+++ b/internal/release/stepper/stepper.go
@@ -9,9 +9,10 @@
 package stepper
 
 import (
+	"cmp"
+	"maps"
 	"math"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/tamarackscale/tamarackscale/internal/release/judger"
@@ -313,15 +314,8 @@
 	}
 	budget, routes := share*float64(total), len(calls)
 	shares := map[string]float64{}
-	names := make([]string, 0, routes)
-	for name := range calls {
-		names = append(names, name)
-	}
-	slices.SortFunc(names, func(a, b string) int {
-		if calls[a] != calls[b] {
-			return calls[a] - calls[b]
-		}
-		return strings.Compare(a, b)
+	names := slices.SortedFunc(maps.Keys(calls), func(a, b string) int {
+		return cmp.Or(cmp.Compare(calls[a], calls[b]), cmp.Compare(a, b))
 	})
 	// The rarest routes come first and leave what they can't take to the others.
 	for i, name := range names {
