assembler, controller, listener: one constant for the path of rollouts, comments with units and reasons

The path stood in the assembler and in the operators' command. The exported type Body of node/listener was used in its package alone. No change of behaviour.

--- a/internal/node/listener/accounted.go
+++ b/internal/node/listener/accounted.go
@@ -12,10 +12,10 @@
 )
 
 const (
-	// fieldBytes is what one field of a header costs.
+	// fieldBytes is the memory of one field of a header: its strings and its place in the map of net/http.
 	fieldBytes = 256
-	// maxReadBytes bounds what is read ahead of a body. It exceeds the largest body of a call, which the
-	// handler refuses if it is longer.
+	// maxReadBytes bounds what is read ahead of a body. It exceeds the largest body of a call; the handler
+	// refuses a longer one.
 	maxReadBytes = 2 << 20
 	// bodyTimeout bounds the time for what is read ahead of a body, which holds memory meanwhile.
 	bodyTimeout = 30 * time.Second
@@ -58,13 +58,13 @@
 			// discarding of the rest.
 			_ = deadline.SetReadDeadline(time.Time{})
 		}
-		r.Body = &Body{Reader: io.MultiReader(bytes.NewReader(data), &failing{r.Body, err}), Closer: r.Body}
+		r.Body = &readAhead{Reader: io.MultiReader(bytes.NewReader(data), &failing{r.Body, err}), Closer: r.Body}
 	}
 	a.handler.ServeHTTP(w, r)
 }
 
-// Body is a body of which a part was read ahead.
-type Body struct {
+// readAhead is a body of which a part was read ahead.
+type readAhead struct {
 	io.Reader
 	io.Closer
 }
--- a/internal/node/runner/runner.go
+++ b/internal/node/runner/runner.go
@@ -41,7 +41,8 @@
 	// more often. A node may use 32 MB, of which the pages of the program, which the
 	// limit does not count, take about 12 MB.
 	softMemoryLimit = 18 << 20
-	// programMegabytes is the memory of the process that the runtime does not count, with a margin.
+	// programMegabytes is the memory of the process that the runtime does not count, some 12 MB for the
+	// pages of the program, with a margin.
 	programMegabytes = 20
 )
 
--- a/internal/observe/reporter/rollouts.go
+++ b/internal/observe/reporter/rollouts.go
@@ -10,9 +10,9 @@
 	"github.com/tamarackscale/tamarackscale/internal/release/stepper"
 )
 
-// maxVersions bounds the number of pairs of service and version in metrics. Others are counted together
-// under otherVersions.
 const (
+	// maxVersions bounds the number of pairs of service and version in metrics. Others are counted together
+	// under otherVersions.
 	maxVersions   = 64
 	otherVersions = "other"
 )
--- a/internal/operator/commander/release.go
+++ b/internal/operator/commander/release.go
@@ -43,7 +43,7 @@
 func (s *session) rolloutPage(address string) (controller.Page, error) {
 	var page controller.Page
 	client := &http.Client{Timeout: s.globals.Timeout}
-	response, err := client.Get("http://" + address + "/rollouts")
+	response, err := client.Get("http://" + address + controller.Path)
 	if err != nil {
 		return page, errors.Wrap(err, "release status")
 	}
--- a/internal/proxy/assembler/explain.go
+++ b/internal/proxy/assembler/explain.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/tamarackscale/tamarackscale/internal/proxy/explainer"
+	"github.com/tamarackscale/tamarackscale/internal/release/controller"
 )
 
 // Explain states what the node would do with a request now.
@@ -21,7 +22,7 @@
 	mux.Handle("/", p.telemetry.Handler())
 	mux.Handle(explainer.Path, explainer.Handler(p.Explain))
 	if p.rollouts != nil {
-		mux.Handle("GET "+rolloutsPath, p.rollouts.controller.Handler(p.rollouts.assigner.Plans))
+		mux.Handle("GET "+controller.Path, p.rollouts.controller.Handler(p.rollouts.assigner.Plans))
 	}
 	return mux
 }
--- a/internal/proxy/assembler/quotas.go
+++ b/internal/proxy/assembler/quotas.go
@@ -21,8 +21,8 @@
 	// isolated. Others replace it as the owner of accounts once its entry, which was written at most
 	// three seconds before the loss and lives for ten, has ended.
 	isolationTime = 5 * time.Second
-	// isolationCheckInterval, isolationCheckTimeout and isolationCheckPeers are the interval between checks of whether other
-	// zones can be reached, the time for one and the number of nodes that it asks.
+	// isolationCheckInterval is the interval between checks of whether other zones can be reached,
+	// isolationCheckTimeout the time for one and isolationCheckPeers the number of nodes that it asks.
 	isolationCheckInterval = time.Second
 	isolationCheckTimeout  = time.Second
 	isolationCheckPeers    = 3
@@ -66,7 +66,7 @@
 // another zone. It is a finder.Observer. Its methods are safe for concurrent use.
 type isolation struct {
 	*reporter.Reporter
-	// peers returns the addresses of nodes of other zones.
+	// peers returns the addresses of nodes of other zones, or of this one if there are no others.
 	peers func() []string
 	ping  func(ctx context.Context, address string) error
 	// listed reports whether a node has this one among its members.
--- a/internal/proxy/assembler/rollouts.go
+++ b/internal/proxy/assembler/rollouts.go
@@ -79,9 +79,6 @@
 	return reply
 }
 
-// rolloutsPath is the path of the operators' page about rollouts, beside the metrics.
-const rolloutsPath = "/rollouts"
-
 // countedVersions counts the attempts by version.
 type countedVersions struct {
 	*assigner.Assigner
--- a/internal/release/controller/page.go
+++ b/internal/release/controller/page.go
@@ -12,6 +12,9 @@
 	"github.com/tamarackscale/tamarackscale/internal/release/stepper"
 )
 
+// Path is the path of the page, beside the metrics.
+const Path = "/rollouts"
+
 // Page is what a node shows operators of rollouts, as JSON.
 type Page struct {
 	// Followed are the plans that the node has received last.
