retrier: nested calls of repeated calls count against the retry budget

Cause: half of the budget of a service was left for the nested calls that repeated parents make again. Change: an attempt says whether it is a repeat; the nested calls of one count as repeats at the node that places them, and leave less for that node's retries. Retries alone may use half of the budget as before.

--- a/internal/proxy/dispatcher/dispatcher.go
+++ b/internal/proxy/dispatcher/dispatcher.go
@@ -63,6 +63,8 @@
 	Call carrier.Call
 	// Nested means that the local upstream makes the call for one that it is running.
 	Nested bool
+	// Repeat means that the call it is made for is a repeat.
+	Repeat bool
 	// Account is the name of the account on whose behalf the call is made; empty if there is none.
 	Account string
 	// Route, Service and Rank have their zero values if no route was found.
@@ -195,7 +197,7 @@
 func (d *Dispatcher) Handle(ctx context.Context, call carrier.Call, received time.Time) acceptor.Response {
 	table := d.Table()
 	parent, nested := d.parentOf(call)
-	event := Event{Call: call, Nested: nested}
+	event := Event{Call: call, Nested: nested, Repeat: parent.Repeat}
 	if table == nil {
 		return d.respond(event, carrier.Refuse(carrier.NoConfiguration), received, defaultTimeout)
 	}
@@ -350,11 +352,16 @@
 	d.Balancer.Done(c, o, time.Now())
 }
 
-func (d *Dispatcher) countCall(service string) {
+// countCall counts a call to a service. A call for one that is a repeat counts against the retry budget
+// of its service, although it can't be refused for that.
+func (d *Dispatcher) countCall(service string, repeat bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
 	d.retrier.RecordCall(service, now)
+	if repeat {
+		d.retrier.RecordRepeat(service, now)
+	}
 	if d.hedger != nil {
 		d.hedger.RecordCall(service, now)
 	}
--- a/internal/proxy/dispatcher/placement.go
+++ b/internal/proxy/dispatcher/placement.go
@@ -55,6 +55,8 @@
 	// from the budgets.
 	hedge bool
 	cost  cost
+	// repeat means that an upstream may have received the call, or its parent, before.
+	repeat bool
 	// last means that no further upstream may receive the call if this one does.
 	last bool
 }
@@ -62,7 +64,7 @@
 // place makes attempts until an upstream has answered or no further attempt is allowed.
 // It returns one result for all attempts.
 func (p *placement) place(ctx context.Context) carrier.Result {
-	p.d.countCall(p.match.Service)
+	p.d.countCall(p.match.Service, p.event.Repeat)
 	best := carrier.Refuse(carrier.NoEndpoint)
 	hedgeAfter := p.hedgeDelay()
 	for first := true; ; first = false {
@@ -211,6 +213,7 @@
 // begin begins an attempt at the upstream that was chosen for it. The caller must hold p.mu.
 func (p *placement) begin(a pendingAttempt) pendingAttempt {
 	p.tried = append(p.tried, a.member.Node)
+	a.repeat = p.delivered+p.inFlight > 0 || p.event.Repeat
 	p.inFlight++
 	a.began = time.Now()
 	a.last = !p.match.Idempotent || p.delivered+p.inFlight >= p.match.MaxAttempts
@@ -219,7 +222,9 @@
 
 // run makes the attempt and records its outcome.
 func (p *placement) run(ctx context.Context, a pendingAttempt) carrier.Result {
-	return p.recordOutcome(ctx, a, p.send(ctx, a, p.job()))
+	job := p.job()
+	job.Repeat = a.repeat
+	return p.recordOutcome(ctx, a, p.send(ctx, a, job))
 }
 
 // job returns the job of an attempt that begins now.
--- a/internal/proxy/executor/executor.go
+++ b/internal/proxy/executor/executor.go
@@ -120,6 +120,8 @@
 	Kind string
 	// Account is the name of the account on whose behalf the call is made; empty if there is none.
 	Account string
+	// Repeat reports whether an upstream had received the call before.
+	Repeat bool
 }
 
 // Load returns the current load of the upstream.
@@ -163,7 +165,7 @@
 	}
 	started := time.Now()
 	e.mu.Lock()
-	e.started(job.Call.ID, Parent{Kind: job.Kind, Account: e.dialect.Account(job.Call.Fields)})
+	e.started(job.Call.ID, Parent{Kind: job.Kind, Account: e.dialect.Account(job.Call.Fields), Repeat: job.Repeat})
 	e.mu.Unlock()
 	result := e.run(ctx, job, deadline)
 	now = time.Now()
--- a/internal/proxy/executor/job.go
+++ b/internal/proxy/executor/job.go
@@ -31,6 +31,9 @@
 	Remaining time.Duration
 	// Waited is how long the caller has waited since its first attempt.
 	Waited time.Duration
+	// Repeat reports whether an upstream has received the call before, so that the calls that this one
+	// makes are repeats too. The message of an attempt states it apart.
+	Repeat bool `msg:"-"`
 	// Local reports whether the caller is on the upstream's VM, so that the answer does not leave it.
 	// LargeBodies reports whether calls of the kind have large bodies. Nodes do not exchange either.
 	Local       bool `msg:"-"`
--- a/internal/proxy/forwarder/attempts.go
+++ b/internal/proxy/forwarder/attempts.go
@@ -27,6 +27,7 @@
 	}
 	latest := r.opened.Add(args.LatestStart)
 	args.Job = args.Job.At(time.Until(latest))
+	args.Job.Repeat = args.Repeat
 	reply.Expired = r.execute(args.AttemptID, latest, &reply.Run, func(ctx context.Context) (carrier.Result, time.Duration) {
 		reserved, whole := r.joinBody(args)
 		defer r.offers.release(reserved)
--- a/internal/proxy/forwarder/forward.go
+++ b/internal/proxy/forwarder/forward.go
@@ -60,7 +60,7 @@
 	now := time.Now()
 	a := &attempt{
 		member: m, node: f.node(m.Address), startedAt: now, deadline: now.Add(job.Remaining),
-		args: AttemptArgs{AttemptID: fencer.AttemptID{Sender: f.sender, Number: f.lastAttempt.Add(1)}, Start: m.Start, Job: job},
+		args: AttemptArgs{AttemptID: fencer.AttemptID{Sender: f.sender, Number: f.lastAttempt.Add(1)}, Start: m.Start, Job: job, Repeat: job.Repeat},
 	}
 	for sends := 1; ; sends++ {
 		mayHaveRun := a.mayHaveArrived
--- a/internal/proxy/forwarder/messages.go
+++ b/internal/proxy/forwarder/messages.go
@@ -44,6 +44,8 @@
 	Job executor.Job
 	// Offset is the number of bytes of the body that were sent before as pieces; Job holds the rest.
 	Offset int
+	// Repeat is that of the job.
+	Repeat bool
 }
 
 // AttemptReply is the result of an attempt.
--- a/internal/proxy/forwarder/messages_gen.go
+++ b/internal/proxy/forwarder/messages_gen.go
@@ -14,8 +14,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	err = z.AttemptID.DecodeMsg(dc)
@@ -43,13 +43,18 @@
 		err = msgp.WrapError(err, "Offset")
 		return
 	}
+	z.Repeat, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Repeat")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *AttemptArgs) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 5
-	err = en.Append(0x95)
+	// array header, size 6
+	err = en.Append(0x96)
 	if err != nil {
 		return
 	}
@@ -78,12 +83,17 @@
 		err = msgp.WrapError(err, "Offset")
 		return
 	}
+	err = en.WriteBool(z.Repeat)
+	if err != nil {
+		err = msgp.WrapError(err, "Repeat")
+		return
+	}
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *AttemptArgs) Msgsize() (s int) {
-	s = 1 + z.AttemptID.Msgsize() + msgp.Int64Size + msgp.DurationSize + z.Job.Msgsize() + msgp.IntSize
+	s = 1 + z.AttemptID.Msgsize() + msgp.Int64Size + msgp.DurationSize + z.Job.Msgsize() + msgp.IntSize + msgp.BoolSize
 	return
 }
 
--- a/internal/proxy/retrier/retrier.go
+++ b/internal/proxy/retrier/retrier.go
@@ -25,6 +25,9 @@
 	// resendFraction is the fraction of the budget for the resends of the node beside an upstream,
 	// on another connection to it. It is taken from what directFraction leaves.
 	resendFraction = 0.1
+	// totalFraction is the fraction of the budget that retries and repeated nested calls may use
+	// together. The rest is for resends and for the difference between the nodes' windows.
+	totalFraction = 0.85
 	// buckets is the number of buckets per window. One more is kept, so a retry
 	// counts for up to one bucket longer than the window.
 	buckets = 10
@@ -47,6 +50,8 @@
 type window struct {
 	calls   [buckets + 1]float64
 	retries [buckets + 1]float64
+	// repeats counts the nested calls of calls that are repeats.
+	repeats [buckets + 1]float64
 	// last is the number of the newest bucket.
 	last int64
 }
@@ -82,7 +87,7 @@
 	steps := min(bucket-w.last, buckets+1)
 	for i := int64(0); i < steps; i++ {
 		position := (bucket - i) % (buckets + 1)
-		w.calls[position], w.retries[position] = 0, 0
+		w.calls[position], w.retries[position], w.repeats[position] = 0, 0, 0
 	}
 	w.last = max(w.last, bucket)
 }
@@ -93,6 +98,13 @@
 	w.calls[w.last%(buckets+1)]++
 }
 
+// RecordRepeat counts a nested call that an upstream makes again since the call that it runs is a
+// repeat. Nobody decides on it, so it only leaves less for retries.
+func (r *Retrier) RecordRepeat(service string, now time.Time) {
+	w := r.window(service, now)
+	w.repeats[w.last%(buckets+1)]++
+}
+
 // Charge is a retry that was counted against the budget of a service. The zero value is none.
 type Charge struct {
 	service string
@@ -110,8 +122,9 @@
 // Take does the same as Allow and returns the charge for the retry.
 func (r *Retrier) Take(service string, nodes int, now time.Time) (Charge, bool) {
 	w := r.window(service, now)
-	allowed := r.fraction * (r.budget.Ratio*sum(w.calls) + r.budget.Slack/float64(max(1, nodes)))
-	if sum(w.retries)+1 > allowed {
+	budget := r.budget.Ratio*sum(w.calls) + r.budget.Slack/float64(max(1, nodes))
+	retries := sum(w.retries) + 1
+	if retries > r.fraction*budget || retries+sum(w.repeats) > totalFraction*budget {
 		return Charge{}, false
 	}
 	w.retries[w.last%(buckets+1)]++
