forwarder: an attempt that is sent again leaves no connection behind Forget

An attempt kept the connections of its node's address from its first send. After Forget, a resend opened one that is in no map: neither Forget nor Close closed it. Each resend now takes the connections in force. TestResendAfterForgetLeavesNoConnection fails without the change (1 connection open after Close).

--- a/internal/proxy/forwarder/forward.go
+++ b/internal/proxy/forwarder/forward.go
@@ -96,6 +96,8 @@
 		if sends > 1 && !pauser.Pause(ctx, resendDelay) {
 			return f.abandon(ctx, a)
 		}
+		// Forget may have closed the connections. Neither it nor Close would close a new one of theirs.
+		a.node = f.node(m.Address)
 	}
 }
 
