queuer: an abandoned call takes no time on the link

A call that was withdrawn as it got its slot (executor.awaitSlot) stayed planned on the link with an answer of the mean size, so later calls with large answers waited for it. TestWithdrawnCallLeavesTheLink fails without the change (link planned for 169 ms more after ten such calls, over the 1 s that had passed).

--- a/internal/proxy/queuer/link.go
+++ b/internal/proxy/queuer/link.go
@@ -92,6 +92,6 @@
 // only when the link can take them; 0 plans nothing.
 func (q *Queue) LimitLink(rate float64) { q.link.setRate(rate) }
 
-// RecordAnswer records the size of the answer of a call that has a slot. It must be called before
-// Release; without it, the call counts as one whose answer has the mean size.
+// RecordAnswer records the size of the answer of a call that has a slot; 0 if there is none. It must be
+// called before Release; without it, the call counts as one whose answer has the mean size.
 func (q *Queue) RecordAnswer(t *Ticket, bytes int) { q.link.recordAnswer(t, bytes) }
--- a/internal/proxy/queuer/link_test.go
+++ b/internal/proxy/queuer/link_test.go
@@ -147,3 +147,25 @@
 		So(granted, ShouldBeTrue)
 	})
 }
+
+// Guards against refusals for the answers of calls that were withdrawn as they got a slot: the link
+// counted as busy with them.
+func TestWithdrawnCallLeavesTheLink(t *testing.T) {
+	Convey("A large answer is planned after calls that were abandoned", t, func() {
+		q := New()
+		q.Slots = 2
+		q.LimitLink(slowLink)
+		sample := ticket("large", 0, false, 0, 1000, 4000)
+		q.Offer(sample, at(0))
+		q.RecordAnswer(sample, largeBytes)
+		q.Release(sample, true, at(0))
+		idle := q.link.due
+		for range 10 {
+			t := ticket("large", 0, false, 0, 1000, 4000)
+			q.Offer(t, at(1000))
+			q.Abandon(t, at(1000))
+		}
+		So(q.link.due, ShouldHappenOnOrBefore, at(1000))
+		So(q.link.due, ShouldHappenOnOrAfter, idle)
+	})
+}
--- a/internal/proxy/queuer/queuer.go
+++ b/internal/proxy/queuer/queuer.go
@@ -345,6 +345,8 @@
 		return
 	}
 	delete(q.running, t)
+	// Without effect if the size of the answer has been recorded.
+	q.link.recordAnswer(t, 0)
 	q.Advance(now)
 }
 
