executor: a caller that leaves before its call is written is no failure of the upstream

The end of the context interrupts the write. On a reused connection with no byte written the result was upstreamUnreachable, and the balancer ejected the upstream. It is now the reason of the context; the call has still certainly not run. TestCallerThatLeavesBeforeTheWriteIsNoFailureOfUpstream fails without the change.

--- a/internal/proxy/executor/executor.go
+++ b/internal/proxy/executor/executor.go
@@ -224,10 +224,13 @@
 func (e *Executor) run(ctx context.Context, job Job, deadline time.Time) carrier.Result {
 	e.countReceived(job.Service)
 	result := e.runOnce(ctx, job, deadline, e.pool.get)
-	if !result.stale || ctx.Err() != nil {
+	switch {
+	case ctx.Err() != nil && result.unsent:
+		// The end of the context may have interrupted the write, which shows nothing of the upstream.
+		return carrier.Refuse(reasonOf(ctx))
+	case !result.stale, ctx.Err() != nil:
 		return result.Result
-	}
-	if result.unsent {
+	case result.unsent:
 		return e.runOnce(ctx, job, deadline, e.pool.open).Result
 	}
 	if !job.Idempotent || !e.allowResend(job.Service) {
