forwarder, fencer: plainer names and comments, one constant for how long answers are kept

The semaphore of a connection and the decisions on waiting offers have the usual names. Comments that said "does the same" state what is done. The account keeps an answer for fencer.AnswerRetention, which was written twice. No change of behaviour.

--- a/internal/proxy/fencer/fencer.go
+++ b/internal/proxy/fencer/fencer.go
@@ -20,14 +20,14 @@
 	// unboundedRetention is how long a finished or revoked attempt without a latest start is
 	// kept. Senders of earlier releases state none.
 	unboundedRetention = 20 * time.Second
-	// answerRetention is how long the answer of an attempt is kept for a sender that
+	// AnswerRetention is how long the answer of an attempt is kept for a sender that
 	// sends the message again.
-	answerRetention = 2 * time.Second
+	AnswerRetention = 2 * time.Second
 )
 
 // Entry is the receiver's state of one attempt.
 type Entry struct {
-	// Result is set before Done is closed. Its answer is dropped after answerRetention.
+	// Result is set before Done is closed. Its answer is dropped after AnswerRetention.
 	Result carrier.Result
 	// UpstreamTime is the time that the call took at the upstream, set with Result.
 	UpstreamTime time.Duration
@@ -144,11 +144,11 @@
 	return e
 }
 
-// expire drops the answers that are older than answerRetention, and the entries without an
+// expire drops the answers that are older than AnswerRetention, and the entries without an
 // answer whose messages are refused by their age.
 func (f *Fencer) expire(now time.Time) {
 	dropped := 0
-	for dropped < len(f.finished) && now.Sub(f.finished[dropped].finished) > answerRetention {
+	for dropped < len(f.finished) && now.Sub(f.finished[dropped].finished) > AnswerRetention {
 		e := f.finished[dropped]
 		e.dropAnswer()
 		heap.Push(&f.expiring, e)
--- a/internal/proxy/fencer/fencer_test.go
+++ b/internal/proxy/fencer/fencer_test.go
@@ -89,7 +89,7 @@
 		e, _ := f.Begin(attempt, latest, func() {}, now)
 		end := now.Add(2 * allowed)
 		f.Finish(e, run(), end)
-		again, isNew := f.Begin(attempt, latest, func() {}, end.Add(answerRetention))
+		again, isNew := f.Begin(attempt, latest, func() {}, end.Add(AnswerRetention))
 		So(isNew, ShouldBeFalse)
 		So(again.Result.Outcome, ShouldEqual, carrier.Run)
 	})
--- a/internal/proxy/forwarder/accounted.go
+++ b/internal/proxy/forwarder/accounted.go
@@ -8,6 +8,7 @@
 
 	"github.com/tamarackscale/tamarackscale/internal/kernel/accountant"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/coder"
+	"github.com/tamarackscale/tamarackscale/internal/proxy/fencer"
 )
 
 const (
@@ -17,9 +18,6 @@
 	messageBytes = 8 << 10
 	// growth is the factor by which the memory of a message that is being read may exceed what has arrived.
 	growth = 2
-	// replyRetention is how long the answer in a reply stays in memory after it was sent, for a sender that
-	// sends the attempt again.
-	replyRetention = 2 * time.Second
 )
 
 // UseAccount makes messages of other nodes reserve memory from the account. It must be called before Serve.
@@ -138,7 +136,8 @@
 	if answer := answerOf(body); len(answer) > accountant.SmallBytes {
 		size := int64(cap(answer))
 		c.account.Take(accountant.Answers, size)
-		time.AfterFunc(replyRetention, func() { c.account.Release(accountant.Answers, size) })
+		// The fencer keeps the answer for a sender that sends the attempt again.
+		time.AfterFunc(fencer.AnswerRetention, func() { c.account.Release(accountant.Answers, size) })
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/proxy/forwarder/attempts.go
+++ b/internal/proxy/forwarder/attempts.go
@@ -54,8 +54,8 @@
 	return reserved, whole
 }
 
-// Run does the same for a sender that states no latest start. Its copies are recognized for a
-// limited time only.
+// Run executes an attempt of a sender that states no latest start, as those of earlier releases. Its
+// copies are recognized for a limited time only.
 func (m *methods) Run(args *RunArgs, reply *RunReply) error {
 	if args.Start != m.r.start {
 		reply.OtherProcess = true
@@ -110,7 +110,7 @@
 	return nil
 }
 
-// Cancel does the same for an attempt of Run.
+// Cancel cancels an attempt of Run.
 func (m *methods) Cancel(args *CancelArgs, _ *Empty) error {
 	m.r.revoke(args.AttemptID, time.Time{})
 	return nil
--- a/internal/proxy/forwarder/forward.go
+++ b/internal/proxy/forwarder/forward.go
@@ -234,7 +234,7 @@
 // isFor reports whether a connection leads to the process that must run the attempt.
 func (a *attempt) isFor(l *connection) bool { return a.dated && l.process == a.member.Start }
 
-// sendRun does the same on a connection to a receiver of an earlier release.
+// sendRun sends the attempt by the method Run, on a connection to a receiver of an earlier release.
 func (f *Forwarder) sendRun(ctx context.Context, p *peer, l *connection, a *attempt) (RunReply, error) {
 	args := &RunArgs{AttemptID: a.args.AttemptID, Start: a.member.Start, Job: a.args.Job}
 	elapsed := time.Since(a.startedAt)
@@ -257,8 +257,8 @@
 	return f.readClock(ctx, n, p, l, false)
 }
 
-// readClock does the same by an exchange. If again is not set, another exchange that has ended in the
-// meantime is enough.
+// readClock learns the receiver's process and its clock by an exchange. If again is not set, another
+// exchange that has ended in the meantime is enough.
 func (f *Forwarder) readClock(ctx context.Context, n *node, p *peer, l *connection, again bool) error {
 	select {
 	case l.identifying <- struct{}{}:
--- a/internal/proxy/forwarder/messages.go
+++ b/internal/proxy/forwarder/messages.go
@@ -46,7 +46,7 @@
 	Offset int
 }
 
-// AttemptReply is the result of an attempt.
+// AttemptReply is the result of an attempt, with what a sender needs that states the latest start.
 type AttemptReply struct {
 	Run RunReply
 	// Reading is that of ClockReply. It is not set if Run.OtherProcess is.
@@ -74,7 +74,7 @@
 	Job   executor.Job
 }
 
-// RunReply is the result of an attempt.
+// RunReply is the result of an attempt, as the method Run replies it.
 type RunReply struct {
 	Result carrier.Result
 	// UpstreamTime is the time that the upstream took. It is 0 if the attempt did not run.
--- a/internal/proxy/forwarder/offers.go
+++ b/internal/proxy/forwarder/offers.go
@@ -13,8 +13,9 @@
 	"github.com/tamarackscale/tamarackscale/internal/proxy/shaper"
 )
 
-// offerInterval is the interval between looks at offers that wait, since the waits for slots change.
-const offerInterval = 20 * time.Millisecond
+// advanceInterval is the interval at which waiting offers are decided again, since the expected waits for
+// slots change.
+const advanceInterval = 20 * time.Millisecond
 
 // offer is the receiver's state of one offer until its body arrives or its deadline passes.
 type offer struct {
@@ -47,9 +48,9 @@
 	mu     sync.Mutex
 	shaper *shaper.Shaper
 	open   map[fencer.AttemptID]*offer
-	// looking is set while a look at the waiting offers is due.
-	looking bool
-	// forecasts holds those of the time forecastAt. One look needs them once for each offer.
+	// scheduled is set while a call of advance is due.
+	scheduled bool
+	// forecasts holds those of the time forecastAt. A call of advance needs them for each offer.
 	forecasts  map[forecastKey]executor.Forecast
 	forecastAt time.Time
 }
@@ -99,7 +100,7 @@
 	s.open[id] = o
 	o.expiry = time.AfterFunc(latest.Sub(now), func() { s.expire(id, o) })
 	s.shaper.Offer(o.Offer, now)
-	s.lookLater()
+	s.scheduleAdvance()
 	return o
 }
 
@@ -121,7 +122,7 @@
 	}
 	o.body = append(o.body, args.Bytes...)
 	s.shaper.Continue(o.Offer, now)
-	s.lookLater()
+	s.scheduleAdvance()
 	return o, true
 }
 
@@ -169,7 +170,7 @@
 	}
 }
 
-// remove makes the offer of an attempt void, since its body has arrived or is not sent any more.
+// remove makes the offer of an attempt void, if there is one: its body has arrived or is no longer sent.
 func (s *offers) remove(id fencer.AttemptID, reason carrier.Reason) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -178,7 +179,7 @@
 	}
 }
 
-// expire does the same for an offer whose deadline has passed, unless another has replaced it.
+// expire makes an offer void whose deadline has passed, unless another has replaced it.
 func (s *offers) expire(id fencer.AttemptID, o *offer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -187,6 +188,7 @@
 	}
 }
 
+// removeLocked makes an offer void for a reason and releases its memory. The caller holds the lock.
 func (s *offers) removeLocked(id fencer.AttemptID, o *offer, reason carrier.Reason) {
 	delete(s.open, id)
 	o.expiry.Stop()
@@ -195,20 +197,20 @@
 	s.shaper.Withdraw(o.Offer, time.Now())
 }
 
-// lookLater schedules the next look while offers wait. The caller holds the lock.
-func (s *offers) lookLater() {
-	if s.looking || s.shaper.Waiting() == 0 {
+// scheduleAdvance schedules the next call of advance while offers wait. The caller holds the lock.
+func (s *offers) scheduleAdvance() {
+	if s.scheduled || s.shaper.Waiting() == 0 {
 		return
 	}
-	s.looking = true
-	time.AfterFunc(offerInterval, s.look)
+	s.scheduled = true
+	time.AfterFunc(advanceInterval, s.advance)
 }
 
-// look advances the shaper and makes the offers void that the upstream takes no more.
-func (s *offers) look() {
+// advance withdraws the offers whose calls the upstream no longer takes, and advances the shaper.
+func (s *offers) advance() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.looking = false
+	s.scheduled = false
 	now := time.Now()
 	for id, o := range s.open {
 		if reason := s.forecast(o.job, now).Refusal; reason != "" {
@@ -216,7 +218,7 @@
 		}
 	}
 	s.shaper.Advance(now)
-	s.lookLater()
+	s.scheduleAdvance()
 }
 
 // close makes all offers void.
--- a/internal/proxy/forwarder/peer.go
+++ b/internal/proxy/forwarder/peer.go
@@ -103,9 +103,9 @@
 	conn *monitoredConn
 	// lastProbe is the time of the last probe, in nanoseconds after conn was opened.
 	lastProbe atomic.Int64
-	// turn holds an element while a message is being written. net/rpc would make the others wait
-	// for a lock, which they could not leave.
-	turn chan struct{}
+	// writing is a semaphore that is held while a message is being written. net/rpc would make the
+	// others wait for a mutex, which ignores the end of their contexts.
+	writing chan struct{}
 	// identifying holds an element while the first exchange is under way. Once identified is set,
 	// process is the start time of the receiver's process, unless earlier is set: the receiver is
 	// of an earlier release, which does not state its clock.
@@ -115,27 +115,27 @@
 	earlier     bool
 }
 
-// takeTurn waits until no other message is being written. It returns an errNotSent if the context
-// ends or the time until has passed before; a zero time never does. Otherwise releaseTurn must be
+// acquireWrite waits until no other message is being written. It returns an errNotSent if the context
+// ends or the time until has passed before; a zero time never does. Otherwise releaseWrite must be
 // called.
-func (l *connection) takeTurn(ctx context.Context, until time.Time) error {
+func (l *connection) acquireWrite(ctx context.Context, until time.Time) error {
 	select {
-	case l.turn <- struct{}{}:
+	case l.writing <- struct{}{}:
 	case <-ctx.Done():
 		return withdrawn(ctx)
 	}
 	switch {
 	case ctx.Err() != nil:
-		l.releaseTurn()
+		l.releaseWrite()
 		return withdrawn(ctx)
 	case !until.IsZero() && time.Now().After(until):
-		l.releaseTurn()
+		l.releaseWrite()
 		return errTooLate
 	}
 	return nil
 }
 
-func (l *connection) releaseTurn() { <-l.turn }
+func (l *connection) releaseWrite() { <-l.writing }
 
 // withdrawn returns the errNotSent of a call whose context has ended.
 func withdrawn(ctx context.Context) error { return fmt.Errorf("%w: %w", errNotSent, ctx.Err()) }
@@ -243,7 +243,7 @@
 	m := &monitoredConn{boundedConn: boundedConn{Conn: conn, timeout: callWriteTimeout}, opened: now}
 	l := &connection{
 		Client: rpc.NewClientWithCodec(coder.NewClientCodec(m)), conn: m,
-		turn: make(chan struct{}, 1), identifying: make(chan struct{}, 1),
+		writing: make(chan struct{}, 1), identifying: make(chan struct{}, 1),
 	}
 	l.lastProbe.Store(-int64(probeTimeout))
 	return l
@@ -307,11 +307,11 @@
 // write writes the message of a call when it is its turn. A long message is written on after its
 // context has ended, but write then returns.
 func (p *peer) write(ctx context.Context, l *connection, method string, args, reply any, until time.Time) (*rpc.Call, error) {
-	if err := l.takeTurn(ctx, until); err != nil {
+	if err := l.acquireWrite(ctx, until); err != nil {
 		return nil, err
 	}
 	if !p.large {
-		defer l.releaseTurn()
+		defer l.releaseWrite()
 		return p.writeNow(l, method, args, reply)
 	}
 	var pending *rpc.Call
@@ -319,7 +319,7 @@
 	written := make(chan struct{})
 	go func() {
 		defer close(written)
-		defer l.releaseTurn()
+		defer l.releaseWrite()
 		defer p.abandonLong(ctx, l, args)()
 		pending, err = p.writeNow(l, method, args, reply)
 	}()
@@ -346,7 +346,7 @@
 	})
 }
 
-// writeNow writes the message of a call. The caller has the turn.
+// writeNow writes the message of a call. The caller holds the semaphore.
 func (p *peer) writeNow(l *connection, method string, args, reply any) (*rpc.Call, error) {
 	writesBefore := l.conn.writes.Load()
 	pending := l.Go(qualified(method), args, reply, make(chan *rpc.Call, 1))
@@ -405,11 +405,11 @@
 // probe pings the peer if that is due. It returns false if another message is being written.
 func (l *connection) probe(now time.Time) bool {
 	select {
-	case l.turn <- struct{}{}:
+	case l.writing <- struct{}{}:
 	default:
 		return false
 	}
-	defer l.releaseTurn()
+	defer l.releaseWrite()
 	if l.probeDue(now) {
 		l.Go(serviceName+".Ping", &Empty{}, &Empty{}, make(chan *rpc.Call, 1))
 	}
