--- a/internal/operator/commander/explain.go
+++ b/internal/operator/commander/explain.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -41,27 +40,18 @@
 	return fmt.Sprintf("%s %s: status %d, %s", e.Node, certainty, e.Status, e.Reason)
 }
 
-// maxExplanationBytes bounds the response of a node.
-const maxExplanationBytes = 4 << 20
-
 // Run asks a node where a request would go, and prints the candidates. Its error is a *RefusedError if
 // the request would be refused.
 func (c *explainCommand) Run(s *session) error {
 	q := explainer.Question{Method: c.Method, Host: c.Host, Path: c.Path, Account: c.Account, Kind: c.Kind}
-	client := &http.Client{Timeout: s.globals.Timeout}
-	response, err := client.Get("http://" + c.Node + explainer.Path + "?" + q.Values().Encode())
-	if err != nil {
-		return errors.Wrap(err, "explain")
-	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxExplanationBytes))
+	status, body, err := s.get(c.Node, explainer.Path+"?"+q.Values().Encode())
 	switch {
 	case err != nil:
 		return errors.Wrap(err, "explain")
-	case response.StatusCode == http.StatusBadRequest:
+	case status == http.StatusBadRequest:
 		return &UsageError{strings.TrimSpace(string(body))}
-	case response.StatusCode != http.StatusOK:
-		return errors.Newf("explain: status %d", response.StatusCode)
+	case status != http.StatusOK:
+		return errors.Newf("explain: status %d", status)
 	}
 	var e explainer.Explanation
 	if err := json.Unmarshal(body, &e); err != nil {
--- a/internal/operator/commander/release.go
+++ b/internal/operator/commander/release.go
@@ -42,16 +42,14 @@
 // rolloutPage reads the page of a proxy.
 func (s *session) rolloutPage(address string) (controller.Page, error) {
 	var page controller.Page
-	client := &http.Client{Timeout: s.globals.Timeout}
-	response, err := client.Get("http://" + address + "/rollouts")
+	status, body, err := s.get(address, "/rollouts")
 	if err != nil {
 		return page, errors.Wrap(err, "release status")
 	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		return page, errors.Newf("release status: %s has no page about rollouts (HTTP status %d)", address, response.StatusCode)
+	if status != http.StatusOK {
+		return page, errors.Newf("release status: %s has no page about rollouts (HTTP status %d)", address, status)
 	}
-	return page, errors.Wrap(json.NewDecoder(response.Body).Decode(&page), "release status: decode response")
+	return page, errors.Wrap(json.Unmarshal(body, &page), "release status: decode response")
 }
 
 // releaseRows returns the rows of a proxy: the rollouts that it controls, and the plans for others.
