--- a/internal/proxy/dispatcher/explain.go
+++ b/internal/proxy/dispatcher/explain.go
@@ -18,10 +18,6 @@
 	noteUrgent  = "the node beside the upstream may give precedence to more urgent calls (urgentFirst)"
 )
 
-// minServedFactor times the service time must be left after the wait in the queue for a call to be
-// served, as in package queuer.
-const minServedFactor = 1.1
-
 // Explain states what would happen to a new, not nested call now. It sends nothing and moves no
 // traffic split.
 func (d *Dispatcher) Explain(q explainer.Question, now time.Time) explainer.Explanation {
@@ -96,7 +92,7 @@
 // at any of them.
 func allRefuse(views []balancer.View, timeout time.Duration) bool {
 	for _, v := range views {
-		needed := time.Duration(minServedFactor * float64(v.ServiceTime))
+		needed := time.Duration(queuer.MinRemainingFactor * float64(v.ServiceTime))
 		if !v.Draining && !v.Ejected && v.Wait+needed < timeout {
 			return false
 		}
--- a/internal/proxy/queuer/queuer.go
+++ b/internal/proxy/queuer/queuer.go
@@ -21,9 +21,9 @@
 	// oldestFirstInterval is the number of picks of which one goes to the call that has
 	// waited longest, whatever its rank, so that the lowest ranks are not starved.
 	oldestFirstInterval = 10
-	// minRemainingFactor times the mean service time must be left before the deadline for
+	// MinRemainingFactor times the mean service time must be left before the deadline for
 	// a call to get a slot that others wait for.
-	minRemainingFactor = 1.1
+	MinRemainingFactor = 1.1
 	// loadDecayTime is the time constant of the offered load's exponential decay.
 	loadDecayTime = time.Second
 	// ranks is the number of distinct ranks. Ranks beyond the last count as the last.
@@ -244,7 +244,7 @@
 
 // minRemaining is the time that must be left before the deadline of a ticket for it to get a slot.
 func (q *Queue) minRemaining(t *Ticket) time.Duration {
-	return time.Duration(minRemainingFactor * float64(q.ServiceTime(t.Kind)))
+	return time.Duration(MinRemainingFactor * float64(q.ServiceTime(t.Kind)))
 }
 
 // startDelay returns the time until the limits of the rate and of the link let a ticket start.
