--- a/internal/proxy/balancer/balancer.go
+++ b/internal/proxy/balancer/balancer.go
@@ -8,6 +8,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/tamarackscale/tamarackscale/internal/proxy/queuer"
@@ -239,7 +240,7 @@
 	var bestTime time.Duration
 	bestUtility := 0.0
 	for _, c := range b.services[info.Service] {
-		if !info.Versions.allows(c.Member) || contains(info.Tried, c.Node) || (info.SkipFull && c.full(info.Class, now)) {
+		if !info.Versions.allows(c.Member) || slices.Contains(info.Tried, c.Node) || (info.SkipFull && c.full(info.Class, now)) {
 			continue
 		}
 		expected := b.expectedTime(c, info, now)
@@ -254,15 +255,6 @@
 // utilityMargin is the difference in utility below which the shorter expected time decides.
 const utilityMargin = 0.005
 
-func contains(names []string, name string) bool {
-	for _, n := range names {
-		if n == name {
-			return true
-		}
-	}
-	return false
-}
-
 // Penalties subtracted from the utility of a candidate. Without them it is at most 1, and
 // below 0 only if the bytes sent to another zone cost more than the answer is worth. A
 // penalised candidate is thus a last resort.
--- a/internal/proxy/balancer/version.go
+++ b/internal/proxy/balancer/version.go
@@ -1,6 +1,9 @@
 package balancer
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // VersionFilter restricts the upstreams of a call by version.
 type VersionFilter struct {
@@ -22,7 +25,7 @@
 	case m.Version != f.Version:
 		return false
 	}
-	return f.Nodes == nil || contains(f.Nodes, m.Node)
+	return f.Nodes == nil || slices.Contains(f.Nodes, m.Node)
 }
 
 // learnVersion takes over the version of a record that is as new as the known one and came by a
@@ -77,7 +80,7 @@
 // Responsive reports whether an upstream that Pick could choose is not ejected.
 func (b *Balancer) Responsive(info PickInfo, now time.Time) bool {
 	for _, c := range b.services[info.Service] {
-		if info.Versions.allows(c.Member) && !contains(info.Tried, c.Node) && !now.Before(c.ejectedUntil) {
+		if info.Versions.allows(c.Member) && !slices.Contains(info.Tried, c.Node) && !now.Before(c.ejectedUntil) {
 			return true
 		}
 	}
--- a/internal/proxy/executor/limiter.go
+++ b/internal/proxy/executor/limiter.go
@@ -69,8 +69,8 @@
 	return maxHeadCost
 }
 
-// handOverTime is how long a large answer counts as being read after it was. Until then it is counted by
-// whom it was handed to, the connection of its caller or of the other node.
+// handOverTime is how long the memory of a large answer stays reserved after it was read. By then the
+// connection that writes it, to its caller or to the other node, has reserved memory for it.
 const handOverTime = 50 * time.Millisecond
 
 // handOver releases what was reserved for reading an answer. Between the release and the count of the
--- a/internal/proxy/explainer/explainer.go
+++ b/internal/proxy/explainer/explainer.go
@@ -126,7 +126,7 @@
 			http.Error(w, "host and path are required, and the path begins with a slash", http.StatusBadRequest)
 		default:
 			w.Header().Set("Content-Type", "application/json")
-			// The asker is gone if it can't be written.
+			// An error means that the client has disconnected.
 			_ = json.NewEncoder(w).Encode(explain(q))
 		}
 	})
--- a/internal/proxy/hedger/hedger.go
+++ b/internal/proxy/hedger/hedger.go
@@ -44,14 +44,14 @@
 // is not safe for concurrent use: its owner must hold a lock.
 type Hedger struct {
 	// share is the allowance that each call adds, in millionths of a hedge.
-	share    int64
-	quantile float64
-	accounts map[string]*account
-	kinds    map[Kind]*durations
+	share      int64
+	quantile   float64
+	allowances map[string]*allowance
+	kinds      map[Kind]*durations
 }
 
-// account holds the allowance of a service.
-type account struct {
+// allowance holds the hedges that the calls to a service allow.
+type allowance struct {
 	// balance is in millionths of a hedge.
 	balance int64
 	// calls approximates the number of calls in the last saveTime: it is halved after each half of
@@ -64,16 +64,16 @@
 func New(extraWork float64) *Hedger {
 	return &Hedger{
 		share: int64(extraWork*million + 0.5), quantile: quantileOf(extraWork),
-		accounts: map[string]*account{}, kinds: map[Kind]*durations{},
+		allowances: map[string]*allowance{}, kinds: map[Kind]*durations{},
 	}
 }
 
-// account returns the account of a service, with the calls halved up to now.
-func (h *Hedger) account(service string, now time.Time) *account {
-	a := h.accounts[service]
+// allowance returns the allowance of a service, with the calls halved up to now.
+func (h *Hedger) allowance(service string, now time.Time) *allowance {
+	a := h.allowances[service]
 	if a == nil {
-		a = &account{halvedAt: now}
-		h.accounts[service] = a
+		a = &allowance{halvedAt: now}
+		h.allowances[service] = a
 	}
 	for a.calls > 0 && now.Sub(a.halvedAt) >= saveTime/2 {
 		a.calls /= 2
@@ -87,7 +87,7 @@
 
 // RecordCall counts a call of a caller to a service.
 func (h *Hedger) RecordCall(service string, now time.Time) {
-	a := h.account(service, now)
+	a := h.allowance(service, now)
 	a.calls++
 	a.balance = min(a.balance+h.share, max(million, a.calls*h.share))
 }
@@ -104,7 +104,7 @@
 	if utilisation >= maxUtilisation {
 		return Charge{}, Utilisation
 	}
-	a, price := h.account(service, now), priceAt(utilisation)
+	a, price := h.allowance(service, now), priceAt(utilisation)
 	switch {
 	case a.balance >= price:
 		a.balance -= price
@@ -127,7 +127,7 @@
 
 // Return cancels the charge for a hedge that reached no upstream.
 func (h *Hedger) Return(c Charge) {
-	if a := h.accounts[c.service]; a != nil {
+	if a := h.allowances[c.service]; a != nil {
 		a.balance += c.price
 	}
 }
