forwarder: an attempt that its receiver rejects withdraws its offer

After an error of the receiver, as without memory for the message, the offer and the pieces of the body stayed at the receiver until the deadline. The sender now revokes an attempt that it has offered. TestOfferEndsWithRejectedAttempt fails without the change (no revocation).

--- a/internal/proxy/forwarder/forward.go
+++ b/internal/proxy/forwarder/forward.go
@@ -77,6 +77,10 @@
 		case isServerError(err):
 			// The node can't take the message, as one of another version may. Run itself
 			// returns no error.
+			if a.offered {
+				// The receiver would keep the offer and the pieces of the body until the deadline.
+				f.cancel(a)
+			}
 			return lostReply(mayHaveRun)
 		case !a.mayHaveArrived && errors.Is(err, errNotSent) && sends == 1:
 			// The connection had been closed before; open a new one without delay.
