replayer, hedges: the policy without hedging.extraWork is named by its rule; shorter functions

"today" was its name in code, table and docs, which goes out of date. The replay is built by a function of its own, as are the scenarios of tools/hedges; the number of deviations and the retry budget are named.

--- a/standin/replayer/call.go
+++ b/standin/replayer/call.go
@@ -44,9 +44,9 @@
 		if second := c.attempt(c.info(), true); second != nil {
 			first.twin, second.twin = second, first
 		}
-	case policy.Today:
+	case policy.ByDeviation:
 		if mean, deviation := c.at.balancer.MeanServiceTime(service, kind); mean > 0 {
-			c.hedgeAfter(time.Duration((1 + 4*deviation) * float64(mean)))
+			c.hedgeAfter(time.Duration((1 + hedgeDeviations*deviation) * float64(mean)))
 		}
 	case policy.ExtraWork > 0:
 		if delay := c.at.hedger.Delay(hedger.Kind{Service: service, Name: kind}, c.r.now); delay > 0 {
--- a/standin/replayer/replayer.go
+++ b/standin/replayer/replayer.go
@@ -37,11 +37,17 @@
 	idempotentShare = 0.8
 	maxAttempts     = 3
 	maxNodes        = 6
+	// hedgeDeviations is the number of mean deviations beyond the mean service time after which
+	// ByDeviation hedges, as in package dispatcher.
+	hedgeDeviations = 4.0
 	// warmUp is the time before calls count; the faults begin then. duration is the end of the load.
 	warmUp   = 4 * time.Second
 	duration = 12 * time.Second
 )
 
+// retryBudget is that of package standin/mesh.
+var retryBudget = retrier.Budget{Ratio: 0.2, Slack: 56, Window: 10 * time.Second}
+
 // Fault is what is wrong with the faulty upstreams.
 type Fault string
 
@@ -66,18 +72,18 @@
 // Policy is a way to hedge.
 type Policy struct {
 	Name string
-	// Today hedges after the mean and four deviations, Tied sends each call to two upstreams of
-	// which the first to start it cancels the other. ExtraWork is the limit of package hedger; 0
-	// if it is not used.
-	Today     bool
-	Tied      bool
-	ExtraWork float64
+	// ByDeviation hedges after the mean and hedgeDeviations, as the product does without the setting
+	// hedging.extraWork. Tied sends each call to two upstreams of which the first to start it cancels
+	// the other. ExtraWork is the limit of package hedger; 0 if it is not used.
+	ByDeviation bool
+	Tied        bool
+	ExtraWork   float64
 }
 
 // Policies lists the policies that are compared.
 var Policies = []Policy{
 	{Name: "none"},
-	{Name: "today", Today: true},
+	{Name: "deviation", ByDeviation: true},
 	{Name: "1 %", ExtraWork: 0.01},
 	{Name: "2 %", ExtraWork: 0.02},
 	{Name: "5 %", ExtraWork: 0.05},
@@ -124,13 +130,25 @@
 
 // Run replays a scenario.
 func Run(s Scenario) *Result {
+	r := newReplay(s)
+	r.arrive()
+	for len(r.events) > 0 {
+		next := heap.Pop(&r.events).(event)
+		r.now = next.at
+		next.run()
+	}
+	return &r.result
+}
+
+// newReplay returns a replay with the nodes, each of which knows all others, and no calls.
+func newReplay(s Scenario) *replay {
 	r := &replay{Scenario: s, random: rand.New(rand.NewPCG(s.Seed, 1)), begin: time.Unix(1000, 0)}
 	r.now = r.begin
 	zones := []string{"x", "y", "z"}
 	for i := range upstreams {
 		n := &node{
 			index: i, name: fmt.Sprintf("n-%d", i), zone: zones[i%len(zones)], queue: queuer.New(),
-			retrier: retrier.New(retrier.Budget{Ratio: 0.2, Slack: 56, Window: 10 * time.Second}),
+			retrier: retrier.New(retryBudget),
 			hedger:  hedger.New(s.Policy.ExtraWork),
 		}
 		n.queue.Slots = slots
@@ -145,13 +163,7 @@
 			})
 		}
 	}
-	r.arrive()
-	for len(r.events) > 0 {
-		next := heap.Pop(&r.events).(event)
-		r.now = next.at
-		next.run()
-	}
-	return &r.result
+	return r
 }
 
 // after runs a function after a delay.
--- a/tools/hedges/main.go
+++ b/tools/hedges/main.go
@@ -22,6 +22,20 @@
 func main() {
 	var o options
 	kong.Parse(&o, kong.Description("Compares policies of hedging by a replay of seeded loads."))
+	scenarios := scenariosOf(o)
+	results := replayAll(scenarios, o)
+	fmt.Println("| load | fault | policy | p50 ms | p99 ms | p99.9 ms | in time | extra work | not idempotent, in time |")
+	fmt.Println("|---|---|---|---|---|---|---|---|---|")
+	for i, s := range scenarios {
+		r := results[i]
+		fmt.Printf("| %.1f | %s | %s | %d | %d | %d | %.4f | %.3f | %.4f |\n", s.Load, s.Fault, s.Policy.Name,
+			r.Percentile(0.5).Milliseconds(), r.Percentile(0.99).Milliseconds(), r.Percentile(0.999).Milliseconds(),
+			replayer.Share(r.InTime, r.Idempotent), replayer.Share(r.Extra, r.Calls), replayer.Share(r.PlainInTime, r.Plain))
+	}
+}
+
+// scenariosOf returns the scenarios that the options choose, without seeds.
+func scenariosOf(o options) []replayer.Scenario {
 	var scenarios []replayer.Scenario
 	for _, load := range o.Loads {
 		for _, fault := range replayer.Faults {
@@ -36,6 +50,11 @@
 			}
 		}
 	}
+	return scenarios
+}
+
+// replayAll returns the sum of the results of each scenario over all seeds.
+func replayAll(scenarios []replayer.Scenario, o options) []*replayer.Result {
 	results := make([]*replayer.Result, len(scenarios))
 	slots := make(chan struct{}, max(1, o.Jobs))
 	var running sync.WaitGroup
@@ -50,12 +69,5 @@
 		})
 	}
 	running.Wait()
-	fmt.Println("| load | fault | policy | p50 ms | p99 ms | p99.9 ms | in time | extra work | not idempotent, in time |")
-	fmt.Println("|---|---|---|---|---|---|---|---|---|")
-	for i, s := range scenarios {
-		r := results[i]
-		fmt.Printf("| %.1f | %s | %s | %d | %d | %d | %.4f | %.3f | %.4f |\n", s.Load, s.Fault, s.Policy.Name,
-			r.Percentile(0.5).Milliseconds(), r.Percentile(0.99).Milliseconds(), r.Percentile(0.999).Milliseconds(),
-			replayer.Share(r.InTime, r.Idempotent), replayer.Share(r.Extra, r.Calls), replayer.Share(r.PlainInTime, r.Plain))
-	}
+	return results
 }
