--- a/internal/proxy/forwarder/forward.go
+++ b/internal/proxy/forwarder/forward.go
@@ -77,6 +77,10 @@
 		case isServerError(err):
 			// The node can't take the message, as one of another version may. Run itself
 			// returns no error.
+			if a.offered {
+				// The receiver would keep the offer and the pieces of the body until the deadline.
+				f.cancel(a)
+			}
 			return lostReply(mayHaveRun)
 		case !a.mayHaveArrived && errors.Is(err, errNotSent) && sends == 1:
 			// The connection had been closed before; open a new one without delay.
@@ -96,6 +100,8 @@
 		if sends > 1 && !pauser.Pause(ctx, resendDelay) {
 			return f.abandon(ctx, a)
 		}
+		// Forget may have closed the connections. Neither it nor Close would close a new one of theirs.
+		a.node = f.node(m.Address)
 	}
 }
 
@@ -232,7 +238,7 @@
 // isFor reports whether a connection leads to the process that must run the attempt.
 func (a *attempt) isFor(l *connection) bool { return a.dated && l.process == a.member.Start }
 
-// sendRun does the same on a connection to a receiver of an earlier release.
+// sendRun sends the attempt by the method Run, on a connection to a receiver of an earlier release.
 func (f *Forwarder) sendRun(ctx context.Context, p *peer, l *connection, a *attempt) (RunReply, error) {
 	args := &RunArgs{AttemptID: a.args.AttemptID, Start: a.member.Start, Job: a.args.Job}
 	elapsed := time.Since(a.startedAt)
@@ -255,8 +261,8 @@
 	return f.readClock(ctx, n, p, l, false)
 }
 
-// readClock does the same by an exchange. If again is not set, another exchange that has ended in the
-// meantime is enough.
+// readClock learns the receiver's process and its clock by an exchange. If again is not set, another
+// exchange that has ended in the meantime is enough.
 func (f *Forwarder) readClock(ctx context.Context, n *node, p *peer, l *connection, again bool) error {
 	select {
 	case l.identifying <- struct{}{}:
