--- a/internal/release/stepper/stepper.go
+++ b/internal/release/stepper/stepper.go
@@ -9,9 +9,10 @@
 package stepper
 
 import (
+	"cmp"
+	"maps"
 	"math"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/tamarackscale/tamarackscale/internal/release/judger"
@@ -159,10 +160,11 @@
 	s.phase, s.since, s.why = phase, elapsed, why
 }
 
-// Ended returns the final phase that is to be recorded now, and whether there is one.
+// Ended returns the final phase that is to be recorded now, and whether there is one. A rollout whose
+// version has lost its upstreams is not done: the platform would then stop the established ones too.
 func (s *Stepper) Ended(in Input) (Phase, bool) {
 	switch {
-	case s.phase == Settling && in.Confirmed && in.Quiet:
+	case s.phase == Settling && in.Confirmed && in.Quiet && len(in.Upstreams) > 0:
 		return Done, true
 	case s.phase == RollingBack && (in.Confirmed || in.Elapsed-s.since > confirmTimeout || in.Limit-in.Elapsed < doneMargin):
 		return RolledBack, true
@@ -312,15 +314,8 @@
 	}
 	budget, routes := share*float64(total), len(calls)
 	shares := map[string]float64{}
-	names := make([]string, 0, routes)
-	for name := range calls {
-		names = append(names, name)
-	}
-	slices.SortFunc(names, func(a, b string) int {
-		if calls[a] != calls[b] {
-			return calls[a] - calls[b]
-		}
-		return strings.Compare(a, b)
+	names := slices.SortedFunc(maps.Keys(calls), func(a, b string) int {
+		return cmp.Or(cmp.Compare(calls[a], calls[b]), cmp.Compare(a, b))
 	})
 	// The rarest routes come first and leave what they can't take to the others.
 	for i, name := range names {
