--- a/internal/proxy/retrier/repeat_test.go
+++ b/internal/proxy/retrier/repeat_test.go
@@ -11,11 +11,11 @@
 // where each parent makes more calls than its service gets directly, half of the budget is not enough
 // for them.
 func TestRepeatsOfNestedCallsLeaveLessForRetries(t *testing.T) {
-	Convey("Retries and repeats of a service with a thousand calls, of which 160 are repeats", t, func() {
+	Convey("Retries and repeats of a service with a thousand calls, of which 100 are repeats", t, func() {
 		r, now := New(Budget{Ratio: 0.2, Slack: 0, Window: 10 * time.Second}), time.Unix(1000, 0)
 		for i := range 1000 {
 			r.RecordCall("s", now)
-			if i < 160 {
+			if i < 100 {
 				r.RecordRepeat("s", now)
 			}
 		}
@@ -23,7 +23,7 @@
 		for r.Allow("s", 1, now) {
 			retries++
 		}
-		So(retries, ShouldEqual, 10)
+		So(retries, ShouldEqual, 30)
 		Convey("They leave the window with the calls", func() {
 			now = now.Add(time.Minute)
 			for range 1000 {
--- a/internal/proxy/retrier/retrier.go
+++ b/internal/proxy/retrier/retrier.go
@@ -26,8 +26,9 @@
 	// on another connection to it. It is taken from what directFraction leaves.
 	resendFraction = 0.1
 	// totalFraction is the fraction of the budget that retries and repeated nested calls may use
-	// together. The rest is for resends and for the difference between the nodes' windows.
-	totalFraction = 0.85
+	// together. The rest is for resends, and for windows of which one bucket more is counted and that
+	// begin at other times than those of the budget.
+	totalFraction = 0.65
 	// buckets is the number of buckets per window. One more is kept, so a retry
 	// counts for up to one bucket longer than the window.
 	buckets = 10
