--- a/internal/proxy/retrier/retrier.go
+++ b/internal/proxy/retrier/retrier.go
@@ -22,6 +22,10 @@
 	// callers. The rest is left for the nested calls that upstreams make again while
 	// they serve a retry.
 	directFraction = 0.5
+	// directCallFraction is directFraction for the part that grows with the calls. It leaves more
+	// for nested calls: a retry after the failure of a nested call repeats all of them, when the
+	// retries of the service that has failed have been made already.
+	directCallFraction = 0.42
 	// resendFraction is the fraction of the budget for the resends of the node beside an upstream,
 	// on another connection to it. It is taken from what directFraction leaves.
 	resendFraction = 0.1
@@ -38,8 +42,10 @@
 // use: its owner must hold a lock.
 type Retrier struct {
 	budget Budget
-	// fraction is the fraction of the budget that this Retrier may use.
-	fraction float64
+	// callFraction and slackFraction are the fractions that this Retrier may use of the parts of the
+	// budget that Ratio and Slack give.
+	callFraction  float64
+	slackFraction float64
 	// began is the time of the first count. Times are measured from it, so that a jump of the
 	// time of day does not move the windows.
 	began    time.Time
@@ -58,14 +64,14 @@
 }
 
 // New returns a Retrier for the calls of a node's callers, with no calls counted.
-func New(budget Budget) *Retrier { return newRetrier(budget, directFraction) }
+func New(budget Budget) *Retrier { return newRetrier(budget, directCallFraction, directFraction) }
 
 // NewResender returns a Retrier for the calls that a node receives for its upstream, with no
 // calls counted.
-func NewResender(budget Budget) *Retrier { return newRetrier(budget, resendFraction) }
+func NewResender(budget Budget) *Retrier { return newRetrier(budget, resendFraction, resendFraction) }
 
-func newRetrier(budget Budget, fraction float64) *Retrier {
-	return &Retrier{budget: budget, fraction: fraction, services: map[string]*window{}}
+func newRetrier(budget Budget, callFraction, slackFraction float64) *Retrier {
+	return &Retrier{budget: budget, callFraction: callFraction, slackFraction: slackFraction, services: map[string]*window{}}
 }
 
 // window returns the window of a service, moved to the current time.
@@ -123,9 +129,9 @@
 // Take does the same as Allow and returns the charge for the retry.
 func (r *Retrier) Take(service string, nodes int, now time.Time) (Charge, bool) {
 	w := r.window(service, now)
-	budget := r.budget.Ratio*sum(w.calls) + r.budget.Slack/float64(max(1, nodes))
+	byCalls, slack := r.budget.Ratio*sum(w.calls), r.budget.Slack/float64(max(1, nodes))
 	retries := sum(w.retries) + 1
-	if retries > r.fraction*budget || retries+sum(w.repeats) > totalFraction*budget {
+	if retries > r.callFraction*byCalls+r.slackFraction*slack || retries+sum(w.repeats) > totalFraction*(byCalls+slack) {
 		return Charge{}, false
 	}
 	w.retries[w.last%(buckets+1)]++
