accountant, forwarder: callers leave other listeners their connections; a grant is read under its lock

Cause (found in review): all listeners drew on one share of memory for connections, so that 1,331 callers of a VM with 184 MB made heartbeats, probes and other nodes be refused. A piece of a body that arrives while a grant is read raced with it. Result: TestExemptListenerAdmitsBeyondTheShare; go test -race ./internal/proxy/forwarder.

--- a/internal/kernel/accountant/accountant_test.go
+++ b/internal/kernel/accountant/accountant_test.go
@@ -299,3 +299,26 @@
 		r.Release()
 	}
 }
+
+// Guards against callers whose connections take all memory for connections, so that heartbeats and
+// readiness probes are refused and the node counts as gone.
+func TestExemptListenerAdmitsBeyondTheShare(t *testing.T) {
+	Convey("An exempt listener admits connections up to its limit, another one does not", t, func() {
+		a := New(184 << 20)
+		So(a.MaxConnections(0.5), ShouldBeBetween, 500, 1000)
+		a.Take(Connections, a.Usage(Connections).Limit)
+		admitted := func(l *Listener) int {
+			count := 0
+			for range 3 {
+				near, far := net.Pipe()
+				defer func() { _ = far.Close() }()
+				if l.admit(near) != nil {
+					count++
+				}
+			}
+			return count
+		}
+		So(admitted(a.Listen(nil, "callers", 2, "")), ShouldEqual, 0)
+		So(admitted(a.Listen(nil, "control", 2, "").Exempt()), ShouldEqual, 2)
+	})
+}
--- a/internal/kernel/accountant/listener.go
+++ b/internal/kernel/accountant/listener.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"net"
 	"sync"
 	"time"
@@ -14,8 +15,8 @@
 	// no descriptors left.
 	minBackoff = 5 * time.Millisecond
 	maxBackoff = 500 * time.Millisecond
-	// slotTime is how long an accepted connection waits for the place of one that is being closed.
-	slotTime = 100 * time.Millisecond
+	// refusalTime bounds the writing of a refusal.
+	refusalTime = 100 * time.Millisecond
 )
 
 // Listener bounds the open connections of a listener and survives errors of Accept.
@@ -28,6 +29,8 @@
 	limit int
 	// refusal is written to a connection that is refused; empty for none.
 	refusal []byte
+	// exempt means that connections are admitted beyond the share.
+	exempt bool
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
@@ -48,6 +51,18 @@
 	return bounded
 }
 
+// Exempt makes the listener admit connections up to its limit although the share is in use, and returns
+// it. It is for the few connections without which the process can't work.
+func (l *Listener) Exempt() *Listener {
+	l.exempt = true
+	return l
+}
+
+// MaxConnections returns the number of connections that a fraction of the share holds.
+func (a *Account) MaxConnections(fraction float64) int {
+	return int(min(math.MaxInt32, fraction*float64(a.shares[Connections].limit)/connectionBytes))
+}
+
 // Listeners returns the listeners whose connections are bounded.
 func (a *Account) Listeners() []*Listener {
 	a.mu.Lock()
@@ -133,7 +148,12 @@
 func (l *Listener) add(c *Conn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.conns) >= l.limit || !l.account.Reserve(Connections, connectionBytes) {
+	switch {
+	case len(l.conns) >= l.limit:
+		return false
+	case l.exempt:
+		l.account.Take(Connections, connectionBytes)
+	case !l.account.Reserve(Connections, connectionBytes):
 		return false
 	}
 	l.conns[c] = struct{}{}
@@ -161,7 +181,7 @@
 func (l *Listener) refuse(raw net.Conn) {
 	l.account.Refuse(Connections)
 	if len(l.refusal) > 0 {
-		_ = raw.SetWriteDeadline(time.Now().Add(slotTime))
+		_ = raw.SetWriteDeadline(time.Now().Add(refusalTime))
 		_, _ = raw.Write(l.refusal)
 	}
 	_ = raw.Close()
--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -273,16 +273,16 @@
 		return err
 	}
 	parts := accountant.Divide(s.Limits.Descriptors)
-	go p.receiver.Serve(p.account.Listen(peers, "peers", parts.Peers, ""))
-	go p.acceptor.Serve(p.account.Listen(callers, "callers", parts.Callers, connectionRefusal()))
-	p.control = p.serveHTTP(p.account.Listen(control, "control", parts.Small, ""), platform.ControlHandler(p))
-	p.serveHTTP(p.account.Listen(readiness, "readiness", parts.Small, ""), platform.ReadinessHandler(p.ready))
+	go p.receiver.Serve(p.account.Listen(peers, "peers", min(parts.Peers, p.account.MaxConnections(peerConnections)), ""))
+	go p.acceptor.Serve(p.account.Listen(callers, "callers", min(parts.Callers, p.account.MaxConnections(callerConnections)), connectionRefusal()))
+	p.control = p.serveHTTP(p.account.Listen(control, "control", parts.Small, "").Exempt(), platform.ControlHandler(p))
+	p.serveHTTP(p.account.Listen(readiness, "readiness", parts.Small, "").Exempt(), platform.ReadinessHandler(p.ready))
 	if s.Listen.Metrics != "" {
 		metrics, err := p.listen(s.Listen.Metrics)
 		if err != nil {
 			return err
 		}
-		p.serveHTTP(p.account.Listen(metrics, "metrics", parts.Small, ""), p.operatorHandler())
+		p.serveHTTP(p.account.Listen(metrics, "metrics", parts.Small, "").Exempt(), p.operatorHandler())
 	}
 	if p.rollouts != nil {
 		go p.rollouts.controller.Run(ctx)
--- a/internal/proxy/assembler/listeners.go
+++ b/internal/proxy/assembler/listeners.go
@@ -17,6 +17,10 @@
 	httpServerTimeout = 30 * time.Second
 	// httpHeadBytes bounds the head of their requests. net/http makes many times its size of it.
 	httpHeadBytes = 4 << 10
+	// callerConnections and peerConnections are the fractions of the memory for connections that those
+	// of callers and of other nodes may hold, so that callers alone do not shut other nodes out.
+	callerConnections = 0.75
+	peerConnections   = 0.6
 	// connectionRetryAfter is how long a caller waits whose connection was refused.
 	connectionRetryAfter = time.Second
 )
--- a/internal/proxy/forwarder/offers.go
+++ b/internal/proxy/forwarder/offers.go
@@ -154,6 +154,9 @@
 	select {
 	case refusal := <-o.Settled:
 		if refusal == nil {
+			// A later piece of the body may change the grant.
+			s.mu.Lock()
+			defer s.mu.Unlock()
 			return carrier.Result{}, o.Granted
 		}
 		reason := carrier.WaitTooLong
