--- a/internal/proxy/retrier/repeat_test.go
+++ b/internal/proxy/retrier/repeat_test.go
@@ -29,7 +29,7 @@
 			for range 1000 {
 				r.RecordCall("s", now)
 			}
-			for range 84 {
+			for range 72 {
 				So(r.Allow("s", 1, now), ShouldBeTrue)
 			}
 			So(r.Allow("s", 1, now), ShouldBeFalse)
--- a/internal/proxy/retrier/retrier.go
+++ b/internal/proxy/retrier/retrier.go
@@ -25,7 +25,7 @@
 	// directCallFraction is directFraction for the part that grows with the calls. It leaves more
 	// for nested calls: a retry after the failure of a nested call repeats all of them, when the
 	// retries of the service that has failed have been made already.
-	directCallFraction = 0.42
+	directCallFraction = 0.36
 	// resendFraction is the fraction of the budget for the resends of the node beside an upstream,
 	// on another connection to it. It is taken from what directFraction leaves.
 	resendFraction = 0.1
