--- a/internal/proxy/acceptor/cost_test.go
+++ b/internal/proxy/acceptor/cost_test.go
@@ -29,7 +29,7 @@
 	return b.String()
 }
 
-// What is reserved must cover what is held, or the account is worth nothing.
+// The reservation must cover the memory that is held; otherwise the shares do not bound the process.
 func TestReservationCoversHeap(t *testing.T) {
 	for _, c := range costs {
 		held, reserved := heapOf(t, c.text)
