executor: an answer that ends with its connection is whole only if its request was written

What callers saw: an endpoint answered a long upload at once with a 200 (or a 500, or an HTTP/1.0 answer) that had no length, sent part of its body, and reset the connection, or closed it with the upload unread. The caller got the part as a complete answer.

Cause: the upload is written while the answer is read. Linux reports a reset once. The write took the report, and its error was taken to say nothing about the answer; the read then saw an ordinary end of the stream, which is the end of such a body.

Evidence: TestAnswerThatEndsWithResetIsNeverWhole on the code before: the three heads without a length fail with both ways to break off (outcome run instead of unknown); those with a length, with chunks and without an end of the head held. TestEarlyAnswersThatEndWithResetAreNotPassedOn with a real process: status 200 instead of 502. Both pass now.

Why this works: RFC 9112, section 8, calls such a body complete unless the connection indicated an error. The executor now waits for the result of the write, at most lateWriteTimeout, and takes the body for whole only if the whole request was written. The result is there whenever the write took the report of a reset, since the read sees the end of the stream only after it. An answer with a length or in chunks has an end of its own and is passed on as before, and so is one that comes early without a length if the endpoint reads the request to its end (TestEarlyAnswerIsWholeOnceRequestIsWritten, which held before too).

--- a/internal/proxy/executor/dialect.go
+++ b/internal/proxy/executor/dialect.go
@@ -37,6 +37,8 @@
 	Encoded bool
 	// Close reports whether the upstream closes the connection after this answer.
 	Close bool
+	// EndsWithConnection reports whether the body has no end other than that of the connection.
+	EndsWithConnection bool
 	// IdleTimeout is how long the upstream keeps an idle connection open; 0 if it is
 	// not specified.
 	IdleTimeout time.Duration
--- a/internal/proxy/executor/exchange.go
+++ b/internal/proxy/executor/exchange.go
@@ -16,6 +16,9 @@
 	// concurrently with the reading of its answer, which may arrive before the whole
 	// request is written.
 	concurrentWriteBytes = 1 << 10
+	// lateWriteTimeout is how long the rest of a request may take to write after an answer that ends with
+	// its connection. The upstream runs on the same VM.
+	lateWriteTimeout = 500 * time.Millisecond
 )
 
 // exchangeResult is the result of one exchange with the upstream.
@@ -74,6 +77,12 @@
 		}
 		return result, false
 	}
+	if result.Outcome == carrier.Run && result.head.EndsWithConnection {
+		if !wroteWhole(written) {
+			result = exchangeResult{Result: carrier.Fail(carrier.AnswerBroken)}
+		}
+		return result, false
+	}
 	select {
 	case err := <-written:
 		if err != nil {
@@ -90,6 +99,20 @@
 	return result, reusable
 }
 
+// wroteWhole waits for the end of a write and reports whether it succeeded. A body that ends with its
+// connection is whole only then: a connection reports its failure once, so that a write which took the
+// report leaves an ordinary end of the stream to the reader.
+func wroteWhole(written <-chan error) bool {
+	timer := time.NewTimer(lateWriteTimeout)
+	defer timer.Stop()
+	select {
+	case err := <-written:
+		return err == nil
+	case <-timer.C:
+		return false
+	}
+}
+
 func (e *Executor) send(c *connection, request UpstreamRequest) error {
 	if err := e.dialect.EncodeCall(c.writer, request); err != nil {
 		return err
--- a/standin/adversary/machine_test.go
+++ b/standin/adversary/machine_test.go
@@ -13,11 +13,13 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/tamarackscale/tamarackscale/standin/answers"
 	"github.com/tamarackscale/tamarackscale/standin/metastore"
 )
 
@@ -225,11 +227,22 @@
 
 // peakMegabytes returns the largest resident memory that the process has had.
 func (m *machine) peakMegabytes() int {
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", m.process.Process.Pid))
-	So(err, ShouldBeNil)
-	_, rest, _ := strings.Cut(string(status), "VmHWM:")
+	peak := peakMegabytes(strconv.Itoa(m.process.Process.Pid))
+	So(peak, ShouldBeGreaterThan, 0)
+	return peak
+}
+
+// peakMegabytes does the same for a process, which may be "self". It returns -1 if the peak is not known.
+func peakMegabytes(process string) int {
+	status, err := os.ReadFile("/proc/" + process + "/status")
+	_, rest, found := strings.Cut(string(status), "VmHWM:")
+	if err != nil || !found {
+		return -1
+	}
 	kilobytes, err := strconv.Atoi(strings.Fields(rest)[0])
-	So(err, ShouldBeNil)
+	if err != nil {
+		return -1
+	}
 	return kilobytes >> 10
 }
 
@@ -307,10 +320,27 @@
 type upstream struct {
 	machine *machine
 	done    chan struct{}
+	// raw answers the requests for targets below /raw/ in place of the upstream.
+	raw atomic.Pointer[answers.Handler]
+}
+
+// answerRaw lets the raw handler answer a request.
+func (u *upstream) answerRaw(w http.ResponseWriter, r *http.Request) {
+	conn, buffered, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	r.Body = io.NopCloser(io.LimitReader(buffered, max(0, r.ContentLength)))
+	(*u.raw.Load())(conn, r)
 }
 
 // ServeHTTP implements http.Handler.
 func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if strings.HasPrefix(r.URL.Path, "/raw/") {
+		u.answerRaw(w, r)
+		return
+	}
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
