verifier, executor: a header line that is none makes an answer broken

What callers saw: an endpoint sent an answer in whose head the name of a field held a blank. The caller got it as an answer, with that line passed on ("X Odd: v", "X-Odd : v"), or with a body that was not the endpoint's: "Content-Length : 2" does not end the body, and "Transfer-Encoding : chunked" puts the framing of the chunks into it. A line that begins with a blank became part of the field before it, so that the stamp of the endpoint was altered.

Cause: the heads are read by http.ReadResponse alone, which lets blanks in names pass and joins lines that begin with one. RFC 9112, sections 5.1 and 5.2, has a proxy remove or reject them.

Evidence: TestBrokenAnswerIsNotPassedOn on fails for a blank in the name, before the colon and before the name, a tab before the name, a length and chunks with a blank in their name, and an interim answer with such a name. It held, and its cases stay, for a tab, a NUL, another control byte, a delete, a carriage return, a bracket and a high byte in the name, an empty name, no colon, control bytes in values, a blank before the first name, and for lengths, chunks and encodings that are none. TestBrokenAnswersAreNotPassedOn with a real process got 200 instead of 502. All pass now.

Why this works: the new package verifier checks each line of a head, of interim answers too, by the grammar of section 5 before http.ReadResponse interprets it, as soon as the line has arrived. A line that continues the one before is rejected as well, which section 5.2 allows. Heads that do not fit into the buffer of the connection, and those after an interim answer, are read through one of 64 KB, whose memory is reserved as before. Unusual answers that are whole are passed on as they were (TestUnusualAnswerIsPassedOn, which held before too).

--- a/internal/kernel/verifier/body.go
+++ b/internal/kernel/verifier/body.go
@@ -1,4 +1,3 @@
-// Package verifier tells which answers over HTTP are whole.
 package verifier
 
 import "net/http"
--- /dev/null
+++ b/internal/kernel/verifier/head.go
@@ -0,0 +1,104 @@
+// Package verifier rejects HTTP answers that break the protocol. The readers of net/http accept heads
+// that RFC 9112 forbids, and pass a body that ends with its connection for whole although the connection
+// has failed. Everything that reads answers over HTTP does so through this package.
+package verifier
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"strings"
+
+	"golang.org/x/net/http/httpguts"
+)
+
+// MaxHeadBytes bounds the head of one answer.
+const MaxHeadBytes = 64 << 10
+
+// HeadError reports a head that breaks the protocol.
+type HeadError struct {
+	// Line is the number of the line in the head; that of the status line is 1.
+	Line int
+	// Violation names what is wrong with it.
+	Violation string
+}
+
+func (e *HeadError) Error() string {
+	return fmt.Sprintf("line %d of the answer's head: %s", e.Line, e.Violation)
+}
+
+// PeekHead returns the head of the next answer without consuming it. It reads no more than what has to
+// arrive for that. The error is a *HeadError as soon as a line is broken, bufio.ErrBufferFull if the head
+// does not fit into the reader's buffer, or that of the connection.
+func PeekHead(r *bufio.Reader) ([]byte, error) {
+	var s scanner
+	for size := 1; ; size = r.Buffered() + 1 {
+		text, err := r.Peek(max(size, r.Buffered()))
+		done, headErr := s.scan(text)
+		switch {
+		case headErr != nil:
+			return nil, headErr
+		case done:
+			return text[:s.size], nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
+
+// IsInterim reports whether a head is that of an interim answer, which another one follows.
+func IsInterim(head []byte) bool {
+	_, status, _ := bytes.Cut(head, []byte(" "))
+	return bytes.HasPrefix(status, []byte("1"))
+}
+
+// scanner checks a head line by line while it arrives.
+type scanner struct {
+	// size is the number of bytes of the lines that were checked, and lines their number.
+	size, lines int
+}
+
+// scan checks the lines of text, the head as far as it has arrived, that have become complete since the
+// last scan. It reports whether the head is complete; its length is size.
+func (s *scanner) scan(text []byte) (bool, error) {
+	rest := text[s.size:]
+	complete := string(rest[:bytes.LastIndexByte(rest, '\n')+1])
+	for complete != "" {
+		var line string
+		line, complete, _ = strings.Cut(complete, "\n")
+		s.size += len(line) + 1
+		s.lines++
+		line = strings.TrimSuffix(line, "\r")
+		if line == "" {
+			return true, nil
+		}
+		if violation := s.check(line); violation != "" {
+			return false, &HeadError{s.lines, violation}
+		}
+	}
+	return false, nil
+}
+
+// check returns what is wrong with the line that was counted last; empty if nothing is.
+func (s *scanner) check(line string) string {
+	if s.lines == 1 {
+		// Package http reads the status line.
+		return ""
+	}
+	return checkField(line)
+}
+
+// checkField checks a line by RFC 9112, section 5. One that continues the line before is rejected, as
+// section 5.2 allows: joined, it would alter a field that was whole.
+func checkField(line string) string {
+	name, value, found := strings.Cut(line, ":")
+	switch {
+	case !found:
+		return "no colon"
+	case !httpguts.ValidHeaderFieldName(name):
+		return "invalid byte in the name of a field"
+	case !httpguts.ValidHeaderFieldValue(value):
+		return "control byte in the value of a field"
+	}
+	return ""
+}
--- a/internal/proxy/executor/exchange.go
+++ b/internal/proxy/executor/exchange.go
@@ -125,16 +125,18 @@
 func (e *Executor) receive(c *connection, request UpstreamRequest) (exchangeResult, bool) {
 	held := e.memory.account.Open(nil)
 	defer e.memory.handOver(&held)
+	reader := c.reader
 	for range maxForeignAnswers {
 		held.Release()
 		c.wire.Remaining = maxHeadBytes
-		if _, err := c.reader.Peek(1); err != nil {
+		if _, err := reader.Peek(1); err != nil {
 			return exchangeResult{Result: carrier.Fail(carrier.AnswerBroken), stale: !c.fresh}, false
 		}
-		if !e.memory.reserveHead(&held, c.reader) {
+		var err error
+		if reader, err = e.memory.reserveHead(&held, reader); err != nil {
 			return exchangeResult{Result: carrier.Fail(carrier.AnswerBroken)}, false
 		}
-		head, err := e.dialect.DecodeAnswer(c.reader, request.Call.Method)
+		head, err := e.dialect.DecodeAnswer(reader, request.Call.Method)
 		if err != nil {
 			return exchangeResult{Result: carrier.Fail(carrier.AnswerBroken)}, false
 		}
@@ -155,7 +157,7 @@
 		if result.Outcome == carrier.NotRun {
 			c.recordRefusal(request.Call.ID)
 		}
-		return result, !head.Close && c.reader.Buffered() == 0
+		return result, !head.Close && reader.Buffered()+c.reader.Buffered() == 0
 	}
 	return exchangeResult{Result: carrier.Fail(carrier.AnswerBroken)}, false
 }
--- a/internal/proxy/executor/limiter.go
+++ b/internal/proxy/executor/limiter.go
@@ -9,11 +9,12 @@
 	"time"
 
 	"github.com/tamarackscale/tamarackscale/internal/kernel/accountant"
+	"github.com/tamarackscale/tamarackscale/internal/kernel/verifier"
 )
 
 const (
 	// maxHeadBytes bounds the head of one answer, with the interim answers before it.
-	maxHeadBytes = 64 << 10
+	maxHeadBytes = verifier.MaxHeadBytes
 	// maxAnswerBytes bounds the body of one answer.
 	maxAnswerBytes = 16 << 20
 	// maxAnswersBytes bounds the memory of all answers that are being read, also if that of the process is
@@ -44,29 +45,27 @@
 	used atomic.Int64
 }
 
-// reserveHead reserves the memory of the head that is to be read next. The cost of one that does not fit
-// into the buffer of the reader, or that follows an interim answer, is not known before it is parsed: it
-// counts as the largest.
-func (m *answerMemory) reserveHead(held *accountant.Reservation, r *bufio.Reader) bool {
-	cost := headCost(r)
-	return held.Grow(accountant.AnswerSizes.Of(cost), cost)
-}
-
-func headCost(r *bufio.Reader) int64 {
-	for size := max(r.Buffered(), 1); size <= r.Size(); size = max(r.Buffered(), size+1) {
-		text, err := r.Peek(size)
-		if bytes.HasPrefix(text, []byte("HTTP/1.1 1")) {
-			break
-		}
-		if end := bytes.Index(text, []byte("\r\n\r\n")); end >= 0 {
-			return int64(end + bytes.Count(text[:end], []byte("\n"))*lineBytes)
-		}
-		if err != nil {
-			// Reading the head fails too.
-			return int64(len(text))
-		}
+// reserveHead reserves the memory of the head that is to be read next, and returns a reader whose buffer
+// holds all of it. That is the given one, unless the head does not fit into it or is that of an interim
+// answer. The cost is then not known before it is parsed: it counts as the largest. The error is
+// errAnswerTooLarge or that of verifier.PeekHead.
+func (m *answerMemory) reserveHead(held *accountant.Reservation, r *bufio.Reader) (*bufio.Reader, error) {
+	head, err := verifier.PeekHead(r)
+	large := errors.Is(err, bufio.ErrBufferFull) || err == nil && verifier.IsInterim(head)
+	if err != nil && !large {
+		return nil, err
+	}
+	cost := int64(len(head) + bytes.Count(head, []byte("\n"))*lineBytes)
+	if large {
+		cost = maxHeadCost
+	}
+	if !held.Grow(accountant.AnswerSizes.Of(cost), cost) {
+		return nil, errAnswerTooLarge
+	}
+	if large {
+		r = bufio.NewReaderSize(r, verifier.MaxHeadBytes)
 	}
-	return maxHeadCost
+	return r, nil
 }
 
 // handOverTime is how long the memory of a large answer stays reserved after it was read. By then the
--- a/standin/adversary/answers_test.go
+++ b/standin/adversary/answers_test.go
@@ -53,6 +53,18 @@
 	So(stamp, ShouldBeEmpty)
 }
 
+func TestBrokenAnswersAreNotPassedOn(t *testing.T) {
+	Convey("An upstream in trouble answers with what is no answer", t, func() {
+		m := startMachine(t, memoryLimit)
+		for _, a := range answers.Broken(answerFields) {
+			Printf("%s; ", a.Name)
+			m.answer(answers.Sending(a.Text))
+			m.checkRejected(rawRequest(0))
+		}
+		m.check(memoryLimit)
+	})
+}
+
 func TestEarlyAnswersThatEndWithResetAreNotPassedOn(t *testing.T) {
 	Convey("Uploads are answered before they were read, and the connection is reset", t, func() {
 		m := startMachine(t, memoryLimit)
--- a/standin/answers/endpoint.go
+++ b/standin/answers/endpoint.go
@@ -1,4 +1,3 @@
-// Package answers is a stand-in for endpoints that break off their answers or never end them.
 package answers
 
 import (
@@ -64,7 +63,7 @@
 	Next  func(n int) string
 }
 
-// Endless returns answers that do not end: in a head, in a body or in neither. Fields are whole header lines that each head has.
+// Endless returns answers that do not end: in a head, in a body or in neither. Fields are as in Broken.
 func Endless(fields string) []Stream {
 	head := "HTTP/1.1 200 OK\r\n" + fields
 	chunked := head + "Transfer-Encoding: chunked\r\n\r\n"
