verifier: a status outside of 100 to 599 makes an answer broken

What callers saw: an endpoint in trouble sent an answer whose status was 000 (099, +20), and then another answer on the same connection. The caller got the latter. Status 600 and 999 were passed on. A lone 000 ended as 502 after the connection had closed.

Cause: each status below 200 counted as that of an interim answer, which is skipped. http.ReadResponse takes any three bytes that strconv.Atoi takes for a status, a sign among them.

Why this works: RFC 9110, section 15, has only 100 to 599 as valid, of three digits. The status line is checked with the rest of the head, so that no reader of answers interprets another one. A switch to a protocol that was not requested is rejected at the same place.

--- a/internal/kernel/verifier/head.go
+++ b/internal/kernel/verifier/head.go
@@ -7,6 +7,8 @@
 	"bufio"
 	"bytes"
 	"fmt"
+	"net/http"
+	"strconv"
 	"strings"
 
 	"golang.org/x/net/http/httpguts"
@@ -82,12 +84,29 @@
 // check returns what is wrong with the line that was counted last; empty if nothing is.
 func (s *scanner) check(line string) string {
 	if s.lines == 1 {
-		// Package http reads the status line.
-		return ""
+		return checkStatusLine(line)
 	}
 	return checkField(line)
 }
 
+// maxStatus is the highest valid status.
+const maxStatus = 599
+
+// checkStatusLine checks a line by RFC 9112, section 4. A status outside of 100 to 599 is invalid (RFC
+// 9110, section 15).
+func checkStatusLine(line string) string {
+	_, rest, _ := strings.Cut(line, " ")
+	digits, _, _ := strings.Cut(rest, " ")
+	status, err := strconv.ParseUint(digits, 10, 16)
+	switch {
+	case err != nil || len(digits) != 3 || status < http.StatusContinue || status > maxStatus:
+		return "invalid status"
+	case status == http.StatusSwitchingProtocols:
+		return "switches to a protocol that was not requested"
+	}
+	return ""
+}
+
 // checkField checks a line by RFC 9112, section 5. One that continues the line before is rejected, as
 // section 5.2 allows: joined, it would alter a field that was whole.
 func checkField(line string) string {
--- a/standin/answers/broken.go
+++ b/standin/answers/broken.go
@@ -23,6 +23,11 @@
 	for name, line := range brokenLines {
 		add("a line with "+name, "HTTP/1.1 200 OK\r\nFIELDS"+line+"\r\nContent-Length: 2\r\n"+body)
 	}
+	for _, status := range []string{"000", "099", "20", "2000", "+20", "-20", "2x0", "600", "999"} {
+		broken := "HTTP/1.1 " + status + " x\r\nFIELDSContent-Length: 0\r\n\r\n"
+		add("status "+status, broken)
+		add("status "+status+" before another answer", broken+"HTTP/1.1 200 OK\r\nFIELDSContent-Length: 2\r\n"+body)
+	}
 	for name, text := range brokenHeads {
 		add(name, text)
 	}
