verifier: a status line of another protocol, or chunks in HTTP/1.0, make an answer broken

What callers saw: of an HTTP/1.0 answer with Transfer-Encoding: chunked they got the framing of the chunks as a part of the body. Answers of HTTP/2.0 and HTTP/0.9, and with a control byte in the reason, were passed on.

Cause: net/http ignores a transfer encoding in HTTP/1.0, and checks neither the major version nor the reason. RFC 9112, section 6.1, has the framing of such an answer count as faulty.

Evidence: TestBrokenAnswerIsNotPassedOn on fails for HTTP/1.0 with chunks, with chunks and a length, HTTP/2.0, HTTP/0.9 and a control byte in the reason. All pass now. Answers of HTTP/1.0 with and without a length are passed on as before (TestUnusualAnswerIsPassedOn).

Why this works: the status line is checked by section 4, and the version kept for the lines after it. Bytes that do not begin like a status line are rejected as they arrive, not at the end of a line that may never come.

--- a/internal/kernel/verifier/head.go
+++ b/internal/kernel/verifier/head.go
@@ -58,11 +58,19 @@
 type scanner struct {
 	// size is the number of bytes of the lines that were checked, and lines their number.
 	size, lines int
+	// oldVersion reports whether the version is 1.0, which has no transfer encodings.
+	oldVersion bool
 }
 
+// protocol is how each status line begins.
+const protocol = "HTTP/1."
+
 // scan checks the lines of text, the head as far as it has arrived, that have become complete since the
 // last scan. It reports whether the head is complete; its length is size.
 func (s *scanner) scan(text []byte) (bool, error) {
+	if known := min(len(text), len(protocol)); string(text[:known]) != protocol[:known] {
+		return false, &HeadError{1, "it does not begin with HTTP/1"}
+	}
 	rest := text[s.size:]
 	complete := string(rest[:bytes.LastIndexByte(rest, '\n')+1])
 	for complete != "" {
@@ -84,9 +92,9 @@
 // check returns what is wrong with the line that was counted last; empty if nothing is.
 func (s *scanner) check(line string) string {
 	if s.lines == 1 {
-		return checkStatusLine(line)
+		return s.checkStatusLine(line)
 	}
-	return checkField(line)
+	return s.checkField(line)
 }
 
 // maxStatus is the highest valid status.
@@ -94,22 +102,28 @@
 
 // checkStatusLine checks a line by RFC 9112, section 4. A status outside of 100 to 599 is invalid (RFC
 // 9110, section 15).
-func checkStatusLine(line string) string {
-	_, rest, _ := strings.Cut(line, " ")
+func (s *scanner) checkStatusLine(line string) string {
+	version, rest, _ := strings.Cut(line, " ")
 	digits, _, _ := strings.Cut(rest, " ")
 	status, err := strconv.ParseUint(digits, 10, 16)
+	s.oldVersion = version == protocol+"0"
 	switch {
+	case len(version) != len(protocol)+1:
+		return "invalid version"
 	case err != nil || len(digits) != 3 || status < http.StatusContinue || status > maxStatus:
 		return "invalid status"
 	case status == http.StatusSwitchingProtocols:
 		return "switches to a protocol that was not requested"
+	case !httpguts.ValidHeaderFieldValue(line):
+		return "control byte"
 	}
 	return ""
 }
 
 // checkField checks a line by RFC 9112, section 5. One that continues the line before is rejected, as
-// section 5.2 allows: joined, it would alter a field that was whole.
-func checkField(line string) string {
+// section 5.2 allows: joined, it would alter a field that was whole. A transfer encoding in HTTP/1.0 makes
+// the framing faulty (section 6.1).
+func (s *scanner) checkField(line string) string {
 	name, value, found := strings.Cut(line, ":")
 	switch {
 	case !found:
@@ -118,6 +132,8 @@
 		return "invalid byte in the name of a field"
 	case !httpguts.ValidHeaderFieldValue(value):
 		return "control byte in the value of a field"
+	case s.oldVersion && strings.EqualFold(name, "Transfer-Encoding"):
+		return "transfer encoding in HTTP/1.0"
 	}
 	return ""
 }
