verifier, connector, carrier: the product's own transports reject heads that break the protocol

What callers saw: through tamarackscale-node an upstream's answer with a blank in the name of a field, with a body that is not the upstream's ("Content-Length : 2", "Transfer-Encoding : chunked", chunks in HTTP/1.0), with status 600 or 999, of HTTP/2.0 or HTTP/0.9. Status 000, 099 and +20 were taken for answers too; writing such a status to the caller ends the connection. An answer of what is at the address of another node was read the same way.

A broken head closes the connection and fails the request; the bytes still reach the base, which would otherwise send some requests again. Which bytes are a head is known because the base runs one request at a time on a connection and reports its begin.

--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -17,6 +17,7 @@
 	"github.com/tamarackscale/tamarackscale/internal/kernel/accountant"
 	"github.com/tamarackscale/tamarackscale/internal/kernel/dialer"
 	"github.com/tamarackscale/tamarackscale/internal/kernel/registrar"
+	"github.com/tamarackscale/tamarackscale/internal/kernel/verifier"
 	"github.com/tamarackscale/tamarackscale/internal/node/administrator"
 	"github.com/tamarackscale/tamarackscale/internal/node/listener"
 	"github.com/tamarackscale/tamarackscale/internal/observe/logger"
@@ -87,7 +88,7 @@
 	router      *router.Router
 	admin       *administrator.Administrator
 	servers     []*listener.Listener
-	transports  []*http.Transport
+	transports  []*verifier.Transport
 }
 
 // New builds a node. It runs nothing until Start is called. It returns an error if a
@@ -215,11 +216,9 @@
 func (n *Node) buildServing(config Config) {
 	n.admitter = admitter.New(config.Discipline)
 	n.picker = picker.New(n.settings.Node.AvailabilityZone, config.Policy)
-	upstreamTransport := upstream.NewTransport(maxUpstreamConnections)
-	upstreamTransport.DialContext = n.dial
-	peerTransport := carrier.NewTransport()
-	peerTransport.DialContext = n.dial
-	n.transports = []*http.Transport{upstreamTransport, peerTransport}
+	upstreamTransport := upstream.NewTransport(maxUpstreamConnections, n.dial)
+	peerTransport := carrier.NewTransport(n.dial)
+	n.transports = []*verifier.Transport{upstreamTransport, peerTransport}
 	n.executor = executor.New(n.admitter, upstream.New(upstreamTransport), func(rank string, queued time.Duration) {
 		n.meter.QueueTime.WithLabelValues(rank).Observe(queued.Seconds())
 	})
--- a/internal/proxy/executor/reset_test.go
+++ b/internal/proxy/executor/reset_test.go
@@ -34,12 +34,9 @@
 
 // serving returns a Dial to a stand-in that answers on a real socket.
 func serving(t *testing.T, answer answers.Handler) executor.Dial {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	So(err, ShouldBeNil)
-	t.Cleanup(func() { _ = l.Close() })
-	go answers.Serve(l, answer)
+	address := answers.Start(t, answer)
 	return func(ctx context.Context, _ string) (net.Conn, error) {
-		return (&net.Dialer{}).DialContext(ctx, "tcp", l.Addr().String())
+		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
 	}
 }
 
--- a/internal/serving/carrier/client.go
+++ b/internal/serving/carrier/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/tamarackscale/tamarackscale/internal/kernel/verifier"
 	"github.com/tamarackscale/tamarackscale/internal/serving/framer"
 	"github.com/tamarackscale/tamarackscale/internal/upstream/connector"
 )
@@ -26,13 +27,14 @@
 // NewTransport returns the transport for calls to other nodes. Its idle timeout is
 // shorter than the server's, so that no call is sent on a connection that the server is
 // closing.
-func NewTransport() *http.Transport {
-	return &http.Transport{
+func NewTransport(dial verifier.Dial) *verifier.Transport {
+	return verifier.New(&http.Transport{
+		DialContext:         dial,
 		MaxIdleConns:        1024,
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     clientIdleTimeout,
 		DisableCompression:  true,
-	}
+	})
 }
 
 const (
--- a/internal/upstream/connector/http.go
+++ b/internal/upstream/connector/http.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/tamarackscale/tamarackscale/internal/kernel/verifier"
 	"github.com/tamarackscale/tamarackscale/internal/serving/framer"
 )
 
@@ -31,14 +32,15 @@
 // NewTransport returns a transport for calls to one upstream with at most
 // maxConnections connections. It does not decompress answers, since they are forwarded
 // unchanged.
-func NewTransport(maxConnections int) *http.Transport {
-	return &http.Transport{
+func NewTransport(maxConnections int, dial verifier.Dial) *verifier.Transport {
+	return verifier.New(&http.Transport{
+		DialContext:         dial,
 		MaxIdleConns:        maxConnections,
 		MaxIdleConnsPerHost: maxConnections,
 		MaxConnsPerHost:     maxConnections,
 		IdleConnTimeout:     30 * time.Second,
 		DisableCompression:  true,
-	}
+	})
 }
 
 // Invoke implements Invoker. The transport closes the connection of a cancelled request
--- a/internal/upstream/connector/http_test.go
+++ b/internal/upstream/connector/http_test.go
@@ -26,7 +26,7 @@
 				w.WriteHeader(http.StatusServiceUnavailable)
 			}))
 			defer server.Close()
-			invoker := connector.New(connector.NewTransport(1))
+			invoker := connector.New(connector.NewTransport(1, nil))
 			call := &framer.Call{ID: "1", Method: http.MethodGet, Target: "/", Header: http.Header{}, Deadline: time.Now().Add(time.Minute)}
 			_, err := invoker.Invoke(context.Background(), strings.TrimPrefix(server.URL, "http://"), call)
 			var refusal *framer.Refusal
--- a/standin/answers/endpoint.go
+++ b/standin/answers/endpoint.go
@@ -8,13 +8,25 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"testing"
 )
 
 // Handler answers one request on a connection, which it may close. The body of the request is not read.
 type Handler func(conn net.Conn, r *http.Request)
 
-// Serve answers the first request of each connection and then closes the connection. It ends with the listener.
-func Serve(l net.Listener, answer Handler) {
+// Start serves an endpoint on a loopback address, which it returns, until the test ends.
+func Start(t testing.TB, answer Handler) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go serve(l, answer)
+	return l.Addr().String()
+}
+
+// serve answers the first request of each connection and then closes the connection. It ends with the listener.
+func serve(l net.Listener, answer Handler) {
 	for {
 		conn, err := l.Accept()
 		if err != nil {
