verifier: the product's own transports don't take a body that ends with a reset for whole

The transport of net/http writes and reads at the same time and ends such a body with the first end of the stream that the read sees, whatever the write got.

Why this works: at the end of such a body the transport waits for the result of writing the request, and for a write in progress on the connection, since net/http reports the former before its last flush. The base has then closed the connection, so that both end. A failed write makes the last read fail with io.ErrUnexpectedEOF, which ends the answer to the caller as broken as a body that is too short does.

--- a/internal/kernel/verifier/conn.go
+++ b/internal/kernel/verifier/conn.go
@@ -10,6 +10,11 @@
 type conn struct {
 	net.Conn
 
+	// writing is held during a write.
+	writing sync.Mutex
+	// failed is the error of the first write that failed.
+	failed error
+
 	mu sync.Mutex
 	// expecting reports whether the head of an answer is due. Head is what has arrived of it.
 	expecting bool
@@ -25,6 +30,24 @@
 	c.expecting, c.head, c.scanner = true, nil, scanner{}
 }
 
+// Write implements net.Conn.
+func (c *conn) Write(b []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(b)
+	if err != nil && c.failed == nil {
+		c.failed = err
+	}
+	return n, err
+}
+
+// writeError waits for a write in progress and returns the error of the first that failed, or nil.
+func (c *conn) writeError() error {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	return c.failed
+}
+
 // Read implements net.Conn. It closes the connection if a head is broken. The bytes are returned all the
 // same, since the transport sends some requests again after a read that fails.
 func (c *conn) Read(b []byte) (int, error) {
--- a/internal/kernel/verifier/transport.go
+++ b/internal/kernel/verifier/transport.go
@@ -7,7 +7,8 @@
 	"net/http/httptrace"
 )
 
-// Transport is an http.RoundTripper that fails for an answer whose head breaks the protocol.
+// Transport is an http.RoundTripper that fails for a broken answer: RoundTrip for a head that breaks the
+// protocol, and the last read of a body for one that ends with its connection and is not known to be whole.
 type Transport struct{ base *http.Transport }
 
 // Dial opens a connection to a network address, as that of an http.Transport does.
@@ -37,7 +38,8 @@
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	e := &exchange{}
 	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { e.begin(info.Conn) },
+		GotConn:      func(info httptrace.GotConnInfo) { e.begin(info.Conn) },
+		WroteRequest: func(info httptrace.WroteRequestInfo) { e.wrote(info.Err) },
 	})
 	response, err := t.base.RoundTrip(request.WithContext(ctx))
 	if headErr := e.headError(); headErr != nil {
@@ -49,5 +51,8 @@
 	if err != nil {
 		return nil, err
 	}
+	if EndsWithConnection(response, request.Method) {
+		response.Body = &unframedBody{ReadCloser: response.Body, exchange: e}
+	}
 	return response, nil
 }
--- a/internal/upstream/connector/broken_test.go
+++ b/internal/upstream/connector/broken_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -62,3 +63,33 @@
 		})
 	}
 }
+
+// See the test of the same name in package executor.
+func TestAnswerThatEndsWithResetIsNeverWhole(t *testing.T) {
+	invoker := connector.New(connector.NewTransport(1, nil))
+	for _, head := range []string{"HTTP/1.1 200 OK\r\n", "HTTP/1.1 500 x\r\n", "HTTP/1.0 200 OK\r\n"} {
+		for _, reset := range []bool{true, false} {
+			Convey("An upload is answered early by "+head, t, func() {
+				address := answers.Start(t, answers.Early(head+answerFields+"\r\nthe first part", reset))
+				for range 10 {
+					_, _, err := invoke(invoker, address, make([]byte, 9<<20), patience)
+					So(err, ShouldNotBeNil)
+				}
+			})
+		}
+	}
+}
+
+func TestEarlyAnswerIsWholeOnceRequestIsWritten(t *testing.T) {
+	invoker := connector.New(connector.NewTransport(1, nil))
+	Convey("A request is read to its end after an answer without a length", t, func() {
+		address := answers.Start(t, func(conn net.Conn, r *http.Request) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+answerFields+"\r\n")
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = io.WriteString(conn, "the whole")
+		})
+		_, body, err := invoke(invoker, address, make([]byte, 9<<20), patience)
+		So(err, ShouldBeNil)
+		So(string(body), ShouldEqual, "the whole")
+	})
+}
