verifier: the product's own transports read heads of 64 KB at most

What was seen: an upstream sends bytes that are no answer, or a head, without end. The process that called it, tamarackscale-node, kept up to 10 MB of each, and many times that for short header lines. A few such calls take the memory of a VM, and the requests of other clients end with the process.

Cause: the transport of net/http reads heads of up to 10 MB unless its base says otherwise, and makes a map entry and strings of each line.

Evidence: TestConnectorTakesBoundedMemory runs the calls in a process of their own and checks the peak of its resident memory.

Why this works: verifier.New bounds the heads of its base, interim answers included, by the 64 KB of the proxy's path. Bodies are passed on as they come, and were.

--- a/internal/kernel/verifier/conn.go
+++ b/internal/kernel/verifier/conn.go
@@ -75,6 +75,9 @@
 	c.head = append(c.head, arrived...)
 	for c.expecting && len(c.head) > 0 {
 		done, err := c.scanner.scan(c.head)
+		if err == nil && !done && len(c.head) > MaxHeadBytes {
+			err = &HeadError{c.scanner.lines + 1, "the head is too long"}
+		}
 		if err != nil {
 			c.broken, c.head = err, nil
 			return err
--- a/internal/kernel/verifier/transport.go
+++ b/internal/kernel/verifier/transport.go
@@ -28,6 +28,7 @@
 		}
 		return &conn{Conn: c}, nil
 	}
+	base.MaxResponseHeaderBytes = MaxHeadBytes
 	return &Transport{base}
 }
 
--- a/standin/adversary/machine_test.go
+++ b/standin/adversary/machine_test.go
@@ -64,6 +64,10 @@
 var program string
 
 func TestMain(m *testing.M) {
+	if address := os.Getenv(addressVariable); address != "" {
+		callEndlessUpstream(address)
+		os.Exit(0)
+	}
 	folder, err := os.MkdirTemp("", "adversary")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
