connector: a broken response of the platform leaves the outcome of a call unknown

What was seen: a commit, a put and a renewal of a lease counted as done if the store's response had a blank in the name of a field, was of another protocol, or had a body longer than what is read of it. With status 000, 099, +20, 600 or 999 they counted as not executed. Both are claims that a broken response can't support: a write that was done is made again, or a lease that has ended is taken to hold.

A body was cut off at its limit without telling, which only the decoding of a body noticed.

Why this works: the assemblers give both clients a verifier.Transport, whose errors leave the outcome unknown, and a body beyond its limit is an error of verifier.ReadBody.

--- a/internal/kernel/verifier/body.go
+++ b/internal/kernel/verifier/body.go
@@ -1,10 +1,25 @@
 package verifier
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 )
 
+// TooLongError reports a body that exceeds a limit in bytes.
+type TooLongError struct{ Limit int64 }
+
+func (e *TooLongError) Error() string { return fmt.Sprintf("body exceeds %d bytes", e.Limit) }
+
+// ReadBody reads a body to its end. The error is a *TooLongError if it has more than limit bytes.
+func ReadBody(body io.Reader, limit int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err == nil && int64(len(data)) > limit {
+		return nil, &TooLongError{limit}
+	}
+	return data, err
+}
+
 // EndsWithConnection reports whether the body of an answer to a request with the method has no end other
 // than that of the connection (RFC 9112, section 6.3).
 func EndsWithConnection(r *http.Response, method string) bool {
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -121,7 +121,7 @@
 	platform := n.settings.Platform
 	return connector.New(connector.Config{
 		Address: platform.Address, Timeout: platform.Timeout.Std(), Observe: n.countPlatformCall,
-	}, &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second, DialContext: n.dial})
+	}, verifier.New(&http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second, DialContext: n.dial}))
 }
 
 func (n *Node) countPlatformCall(operation, result string) {
--- a/internal/platform/connector/http.go
+++ b/internal/platform/connector/http.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"time"
 
+	"github.com/tamarackscale/tamarackscale/internal/kernel/verifier"
 	"github.com/tamarackscale/tamarackscale/internal/platform/keeper"
 )
 
@@ -157,7 +158,7 @@
 		return &keeper.UnknownOutcomeError{Operation: operation, Cause: err}
 	}
 	defer response.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	data, err := verifier.ReadBody(response.Body, maxResponseBytes)
 	if err != nil {
 		return &keeper.UnknownOutcomeError{Operation: operation, Cause: err}
 	}
--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -15,6 +15,7 @@
 	"github.com/tamarackscale/tamarackscale/internal/account/granter"
 	"github.com/tamarackscale/tamarackscale/internal/kernel/accountant"
 	"github.com/tamarackscale/tamarackscale/internal/kernel/dialer"
+	"github.com/tamarackscale/tamarackscale/internal/kernel/verifier"
 	"github.com/tamarackscale/tamarackscale/internal/observe/reporter"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/acceptor"
 	"github.com/tamarackscale/tamarackscale/internal/proxy/balancer"
@@ -78,7 +79,7 @@
 	granter   *granter.Granter
 	isolation *isolation
 
-	transport *http.Transport
+	transport *verifier.Transport
 	servers   []*http.Server
 	// control serves the heartbeats of the upstream; nil before Start. It is among servers.
 	control   *http.Server
@@ -223,10 +224,10 @@
 
 // buildStoreClients builds the components that use the platform's store.
 func (p *Proxy) buildStoreClients(s *reader.Settings) {
-	p.transport = &http.Transport{
+	p.transport = verifier.New(&http.Transport{
 		DialContext:        p.dialStore,
 		DisableCompression: true, MaxIdleConnsPerHost: 2,
-	}
+	})
 	store := connector.New(connector.Config{
 		Address: s.Platform.Address, Timeout: storeTimeout, WatchGrace: watchGrace,
 		Observe: p.telemetry.StoreCall, EraBegan: p.telemetry.StoreEra,
