connector: a response of the platform takes bounded memory

What was seen: the platform, or what is at its address, answers without end. A process of tamarackscale-node with the calls that it has in flight at once (watch, get, renew, grant) kept 646 MB of such bodies, the proxy's process 172 MB of header lines: VMs have less, and the requests of clients end with the process.

Cause: the node's client read 64 MB of each response, since a list may hold many values; the proxy's client read heads of 10 MB.

Why this works: only operators make lists, whose limit stays. A value has a megabyte at most, which bounds the response to all calls of one key, and a watch of the node follows the record of rollouts and the reports of zones.

--- a/internal/platform/connector/http.go
+++ b/internal/platform/connector/http.go
@@ -17,9 +17,25 @@
 	"github.com/tamarackscale/tamarackscale/internal/platform/keeper"
 )
 
-// maxResponseBytes limits a response body; a list may hold several values of one
-// megabyte each.
-const maxResponseBytes = 64 << 20
+// Limits of response bodies. A value has a megabyte at most, which base64 enlarges by a third. Only
+// operators make lists; nodes follow few keys, with small values.
+const (
+	maxItemBytes  = 2 << 20
+	maxWatchBytes = 8 << 20
+	maxListBytes  = 64 << 20
+)
+
+// maxResponseBytes returns the limit of the response to an operation.
+func maxResponseBytes(operation string) int64 {
+	switch operation {
+	case "list":
+		return maxListBytes
+	case "watch":
+		return maxWatchBytes
+	default:
+		return maxItemBytes
+	}
+}
 
 // Config holds the platform's address and the settings of a call.
 type Config struct {
@@ -158,7 +174,7 @@
 		return &keeper.UnknownOutcomeError{Operation: operation, Cause: err}
 	}
 	defer response.Body.Close()
-	data, err := verifier.ReadBody(response.Body, maxResponseBytes)
+	data, err := verifier.ReadBody(response.Body, maxResponseBytes(operation))
 	if err != nil {
 		return &keeper.UnknownOutcomeError{Operation: operation, Cause: err}
 	}
--- a/standin/adversary/machine_test.go
+++ b/standin/adversary/machine_test.go
@@ -65,7 +65,8 @@
 
 func TestMain(m *testing.M) {
 	if address := os.Getenv(addressVariable); address != "" {
-		callEndlessUpstream(address)
+		callers[os.Getenv(callerVariable)](address)
+		fmt.Println(peakMegabytes("self"))
 		os.Exit(0)
 	}
 	folder, err := os.MkdirTemp("", "adversary")
@@ -89,6 +90,8 @@
 	ip       string
 	process  *exec.Cmd
 	upstream *upstream
+	// rawStore, if any, answers in place of the store.
+	rawStore atomic.Pointer[answers.Handler]
 	log      bytes.Buffer
 	// exited is closed when the process has ended.
 	exited chan struct{}
@@ -119,7 +122,13 @@
 	m := &machine{ip: fmt.Sprintf("127.%d.%d.%d", 60+pid/250%100, 1+pid%250, lastMachine), exited: make(chan struct{})}
 	store := metastore.New()
 	store.Put("op/config", []byte(configuration))
-	m.serve(t, storePort, store.Handler())
+	m.serve(t, storePort, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if raw := m.rawStore.Load(); raw != nil {
+			answerRaw(*raw, w, r)
+			return
+		}
+		store.Handler().ServeHTTP(w, r)
+	}))
 	m.upstream = &upstream{machine: m, done: make(chan struct{})}
 	m.serve(t, upstreamPort, m.upstream)
 	path := filepath.Join(t.TempDir(), "settings.yaml")
@@ -328,21 +337,21 @@
 	raw atomic.Pointer[answers.Handler]
 }
 
-// answerRaw lets the raw handler answer a request.
-func (u *upstream) answerRaw(w http.ResponseWriter, r *http.Request) {
+// answerRaw lets a handler answer a request on its connection.
+func answerRaw(handler answers.Handler, w http.ResponseWriter, r *http.Request) {
 	conn, buffered, err := w.(http.Hijacker).Hijack()
 	if err != nil {
 		return
 	}
 	defer func() { _ = conn.Close() }()
 	r.Body = io.NopCloser(io.LimitReader(buffered, max(0, r.ContentLength)))
-	(*u.raw.Load())(conn, r)
+	handler(conn, r)
 }
 
 // ServeHTTP implements http.Handler.
 func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if strings.HasPrefix(r.URL.Path, "/raw/") {
-		u.answerRaw(w, r)
+		answerRaw(*u.raw.Load(), w, r)
 		return
 	}
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
