commander: a broken response of a node is no result

What operators saw: "node status", "release status" and "explain" printed an empty result, with exit code 0, of a response whose head was broken; "node status" did so too of one with status 404 or 500, or whose body ended before its length or without the last chunk. A response without end made "node status" keep it until the timeout.

Why this works: the commands read pages of nodes by one function, over a verifier.Transport, and to the end of their body; a longer one than 4 MB is an error. The bodies of the broken answers of the tests are JSON now, so that no reader rejects them for their body alone.

--- a/internal/operator/commander/commander.go
+++ b/internal/operator/commander/commander.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/tamarackscale/tamarackscale/internal/input/collector"
+	"github.com/tamarackscale/tamarackscale/internal/kernel/verifier"
 	"github.com/tamarackscale/tamarackscale/internal/operator/follower"
 	"github.com/tamarackscale/tamarackscale/internal/operator/printer"
 	"github.com/tamarackscale/tamarackscale/internal/platform/connector"
@@ -73,6 +74,8 @@
 	printer   *printer.Printer
 	publisher *publisher.Publisher
 	store     keeper.Store
+	// client requests pages of nodes.
+	client *http.Client
 }
 
 // UsageError is returned for invalid or missing flags and for files that cannot be read.
@@ -129,10 +132,11 @@
 }
 
 func newSession(ctx context.Context, globals Globals, stdout io.Writer) *session {
-	store := connector.New(connector.Config{Address: globals.Platform, Timeout: globals.Timeout}, http.DefaultTransport)
+	transport := verifier.New(&http.Transport{Proxy: http.ProxyFromEnvironment})
+	store := connector.New(connector.Config{Address: globals.Platform, Timeout: globals.Timeout}, transport)
 	return &session{
 		context: ctx, globals: globals, printer: printer.New(globals.Output, stdout),
-		publisher: publisher.New(store, time.Now), store: store,
+		publisher: publisher.New(store, time.Now), store: store, client: &http.Client{Transport: transport, Timeout: globals.Timeout},
 	}
 }
 
--- a/internal/operator/commander/node.go
+++ b/internal/operator/commander/node.go
@@ -26,14 +26,15 @@
 
 // Run reads the status of a node from its admin address and prints its members.
 func (c *nodeStatus) Run(s *session) error {
-	client := &http.Client{Timeout: s.globals.Timeout}
-	response, err := client.Get("http://" + c.Admin + "/v1/status")
+	code, body, err := s.get(c.Admin, "/v1/status")
 	if err != nil {
 		return errors.Wrap(err, "node status")
 	}
-	defer response.Body.Close()
+	if code != http.StatusOK {
+		return errors.Newf("node status: HTTP status %d", code)
+	}
 	var status administrator.Status
-	if err := json.NewDecoder(response.Body).Decode(&status); err != nil {
+	if err := json.Unmarshal(body, &status); err != nil {
 		return errors.Wrap(err, "node status: decode response")
 	}
 	result := printer.Result{Columns: []string{"member", "zone", "service", "state", "relay", "version here"}, Value: status}
--- a/internal/platform/connector/broken_test.go
+++ b/internal/platform/connector/broken_test.go
@@ -17,11 +17,12 @@
 // patience bounds the waits for a response. No check depends on it.
 const patience = 30 * time.Second
 
-// checkUnknown checks that the outcome of a write and of a renewal is unknown if the platform answers both so.
+// checkUnknown checks that the outcome of a read, a write and a renewal is unknown if the platform answers all so.
 func checkUnknown(t *testing.T, answer answers.Handler) {
 	c := connector.New(connector.Config{Address: answers.Start(t, answer), Timeout: patience}, verifier.New(&http.Transport{}))
 	_, putErr := c.Put(context.Background(), keeper.PutRequest{Key: "key", Value: []byte("1")})
-	for operation, err := range map[string]error{"put": putErr, "renew": c.Renew(context.Background(), 1)} {
+	_, getErr := c.Get(context.Background(), "key")
+	for operation, err := range map[string]error{"get": getErr, "put": putErr, "renew": c.Renew(context.Background(), 1)} {
 		var unknown *keeper.UnknownOutcomeError
 		if !errors.As(err, &unknown) {
 			t.Errorf("%s: %v", operation, err)
--- a/standin/adversary/connector_test.go
+++ b/standin/adversary/connector_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/tamarackscale/tamarackscale/internal/kernel/verifier"
+	"github.com/tamarackscale/tamarackscale/internal/operator/commander"
 	platform "github.com/tamarackscale/tamarackscale/internal/platform/connector"
 	"github.com/tamarackscale/tamarackscale/internal/serving/framer"
 	"github.com/tamarackscale/tamarackscale/internal/upstream/connector"
@@ -28,7 +29,7 @@
 )
 
 // callers make calls that get answers without end, all at the same time.
-var callers = map[string]func(address string){"upstream": callUpstream, "store": callStore}
+var callers = map[string]func(address string){"upstream": callUpstream, "store": callStore, "operator": callNode}
 
 const (
 	// upstreamCalls is the number of calls to an upstream.
@@ -67,6 +68,11 @@
 	calls.Go(func() { _, _ = store.Grant(ctx, time.Second) })
 }
 
+// callNode runs an operator's command that asks a node.
+func callNode(address string) {
+	commander.Run(context.Background(), "test", []string{"node", "status", address}, io.Discard, io.Discard)
+}
+
 // checkCaller checks the memory of a process whose calls get answers without end.
 func checkCaller(t *testing.T, caller, fields string) {
 	for _, stream := range answers.Endless(fields) {
@@ -94,3 +100,5 @@
 }
 
 func TestStoreConnectorTakesBoundedMemory(t *testing.T) { checkCaller(t, "store", "") }
+
+func TestOperatorsCommandTakesBoundedMemory(t *testing.T) { checkCaller(t, "operator", "") }
--- a/standin/answers/broken.go
+++ b/standin/answers/broken.go
@@ -10,8 +10,8 @@
 	Text string
 }
 
-// body is the body of the answers, with the end of their head before it.
-const body = "\r\nok"
+// body is the body of the answers, which every reader of JSON accepts, with the end of their head before it.
+const body = "\r\n{}"
 
 // Broken returns answers of which no byte may reach a caller. Fields are whole header lines that each
 // head has; an endpoint's mark that makes its answers acceptable is among them.
@@ -64,8 +64,8 @@
 	"version 0.9":                        "HTTP/0.9 200 OK\r\nFIELDSContent-Length: 2\r\n" + body,
 	"a control byte in the reason":       "HTTP/1.1 200 O\x01K\r\nFIELDSContent-Length: 2\r\n" + body,
 	"a length with a blank in its name":  "HTTP/1.1 200 OK\r\nFIELDSContent-Length : 2\r\n" + body + "more",
-	"chunks with a blank in their name":  "HTTP/1.1 200 OK\r\nFIELDSTransfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
-	"version 1.0 and chunks":             "HTTP/1.0 200 OK\r\nFIELDSTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	"chunks with a blank in their name":  "HTTP/1.1 200 OK\r\nFIELDSTransfer-Encoding : chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+	"version 1.0 and chunks":             "HTTP/1.0 200 OK\r\nFIELDSTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
 	"version 1.0, chunks and a length":   "HTTP/1.0 200 OK\r\nFIELDSTransfer-Encoding: chunked\r\nContent-Length: 2\r\n" + body,
 	"an unknown transfer encoding":       "HTTP/1.1 200 OK\r\nFIELDSTransfer-Encoding: gzip\r\n" + body,
 	"two lengths":                        "HTTP/1.1 200 OK\r\nFIELDSContent-Length: 2\r\nContent-Length: 1\r\n" + body,
@@ -73,9 +73,9 @@
 	"a negative length":                  "HTTP/1.1 200 OK\r\nFIELDSContent-Length: -2\r\n" + body,
 	"a length that is no number":         "HTTP/1.1 200 OK\r\nFIELDSContent-Length: 2x\r\n" + body,
 	"an empty length":                    "HTTP/1.1 200 OK\r\nFIELDSContent-Length:\r\n" + body,
-	"a chunk size that is no number":     "HTTP/1.1 200 OK\r\nFIELDSTransfer-Encoding: chunked\r\n\r\nx\r\nok\r\n0\r\n\r\n",
-	"a chunk longer than its size":       "HTTP/1.1 200 OK\r\nFIELDSTransfer-Encoding: chunked\r\n\r\n1\r\nok\r\n0\r\n\r\n",
-	"no last chunk":                      "HTTP/1.1 200 OK\r\nFIELDSTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+	"a chunk size that is no number":     "HTTP/1.1 200 OK\r\nFIELDSTransfer-Encoding: chunked\r\n\r\nx\r\n{}\r\n0\r\n\r\n",
+	"a chunk longer than its size":       "HTTP/1.1 200 OK\r\nFIELDSTransfer-Encoding: chunked\r\n\r\n1\r\n{}\r\n0\r\n\r\n",
+	"no last chunk":                      "HTTP/1.1 200 OK\r\nFIELDSTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n",
 	"a body that ends before its length": "HTTP/1.1 200 OK\r\nFIELDSContent-Length: 3\r\n" + body,
 	"an interim answer with a broken name": "HTTP/1.1 103 Early Hints\r\nX Odd: v\r\n\r\nHTTP/1.1 200 OK\r\nFIELDS" +
 		"Content-Length: 2\r\n" + body,
@@ -84,7 +84,7 @@
 // UnusualStatus and UnusualBody are those of the answers of Unusual.
 const (
 	UnusualStatus = 201
-	UnusualBody   = "ok"
+	UnusualBody   = "{}"
 )
 
 // Unusual returns answers that are whole, although few endpoints send such. Fields are as in Broken.
@@ -100,13 +100,13 @@
 	"no reason":                          "HTTP/1.1 201 \r\nFIELDSContent-Length: 2\r\n" + body,
 	"no reason and no blank":             "HTTP/1.1 201\r\nFIELDSContent-Length: 2\r\n" + body,
 	"a high byte in the reason":          "HTTP/1.1 201 \xe9\r\nFIELDSContent-Length: 2\r\n" + body,
-	"lines that end without a return":    "HTTP/1.1 201 x\nFIELDSContent-Length: 2\n\nok",
+	"lines that end without a return":    "HTTP/1.1 201 x\nFIELDSContent-Length: 2\n\n{}",
 	"blanks and tabs around a value":     "HTTP/1.1 201 x\r\nFIELDSContent-Length: \t 2 \t\r\n" + body,
 	"a tab and a high byte in a value":   "HTTP/1.1 201 x\r\nFIELDSX-Odd: a\tb\xe9\r\nContent-Length: 2\r\n" + body,
 	"an empty value":                     "HTTP/1.1 201 x\r\nFIELDSX-Odd:\r\nContent-Length: 2\r\n" + body,
 	"all bytes of a name":                "HTTP/1.1 201 x\r\nFIELDS!#$%&'*+-.^_`|~09azAZ: v\r\nContent-Length: 2\r\n" + body,
 	"the same length twice":              "HTTP/1.1 201 x\r\nFIELDSContent-Length: 2\r\nContent-Length: 2\r\n" + body,
-	"chunks with extensions and trailer": "HTTP/1.1 201 x\r\nFIELDSTransfer-Encoding: chunked\r\n\r\n2;a=b\r\nok\r\n0\r\nX-Odd: v\r\n\r\n",
+	"chunks with extensions and trailer": "HTTP/1.1 201 x\r\nFIELDSTransfer-Encoding: chunked\r\n\r\n2;a=b\r\n{}\r\n0\r\nX-Odd: v\r\n\r\n",
 	"no length":                          "HTTP/1.1 201 x\r\nFIELDS" + body,
 	"version 1.0 without a length":       "HTTP/1.0 201 x\r\nFIELDS" + body,
 	"version 1.0 with a length":          "HTTP/1.0 201 x\r\nFIELDSContent-Length: 2\r\n" + body,
--- a/standin/answers/endpoint.go
+++ b/standin/answers/endpoint.go
@@ -75,7 +75,7 @@
 	Next  func(n int) string
 }
 
-// Endless returns answers that do not end: in a head, in a body or in neither. Fields are as in Broken.
+// Endless returns answers that do not end: in a head, in a body or in neither. Bodies begin like JSON. Fields are as in Broken.
 func Endless(fields string) []Stream {
 	head := "HTTP/1.1 200 OK\r\n" + fields
 	chunked := head + "Transfer-Encoding: chunked\r\n\r\n"
@@ -86,9 +86,9 @@
 		{"a header line", head + "X-Long: ", repeat("x")},
 		{"header lines", head, func(n int) string { return fmt.Sprintf("%x:\r\n", n) }},
 		{"interim answers", "", repeat("HTTP/1.1 100 Continue\r\n\r\n")},
-		{"a body without a length", head + "\r\n", repeat("x")},
-		{"a body of a large length", head + "Content-Length: 99999999999\r\n\r\n", repeat("x")},
-		{"chunks", chunked, repeat("1\r\nx\r\n")},
+		{"a body without a length", head + "\r\n{\"", repeat("x")},
+		{"a body of a large length", head + "Content-Length: 99999999999\r\n\r\n{\"", repeat("x")},
+		{"chunks", chunked + "2\r\n{\"\r\n", repeat("1\r\nx\r\n")},
 		{"a chunk size", chunked, repeat("0")},
 		{"a chunk extension", chunked + "1;", repeat("x")},
 		{"trailer lines", chunked + "1\r\nx\r\n0\r\n", func(n int) string { return fmt.Sprintf("%x:\r\n", n) }},
