coder: a message between nodes is bounded as a whole

What was seen: a node whose peer answers with header fields without end reads and keeps them until the peer closes. The process has the requests of other clients.

Cause: each value of a message has a bound, and the number of fields, but not the message: 131,072 fields of two megabytes pass.

Why this works: the reader of a connection gets no more than maxMessageBytes for each message, one value of the maximum size and as much of all others. Beyond that the connection ends, and the calls in flight on it end as they do when a peer is lost. Bytes that are no message ended it before, at the first value of another type.

--- a/internal/proxy/coder/coder.go
+++ b/internal/proxy/coder/coder.go
@@ -5,12 +5,15 @@
 package coder
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net/rpc"
 	"sync/atomic"
 
 	"github.com/tinylib/msgp/msgp"
+
+	"github.com/tamarackscale/tamarackscale/internal/kernel/limiter"
 )
 
 // bufferBytes is the size of each of a connection's two buffers. A longer message is
@@ -26,8 +29,13 @@
 	maxValueBytes = 17 << 20
 	// maxStringBytes bounds a text, such as the value of a header field.
 	maxStringBytes = 1 << 20
+	// maxMessageBytes bounds a whole message: one value of the maximum size and as much of all others.
+	maxMessageBytes = 2 * maxValueBytes
 )
 
+// errMessageTooLong reports a message of more than maxMessageBytes.
+var errMessageTooLong = errors.New("message exceeds its size limit")
+
 // TypeError reports a value whose type has no MessagePack encoding.
 type TypeError struct{ Value any }
 
@@ -38,15 +46,17 @@
 // codec reads and writes the messages of one connection for both sides.
 type codec struct {
 	conn   io.ReadWriteCloser
+	wire   *limiter.Reader
 	reader *msgp.Reader
 	writer *msgp.Writer
 }
 
 func newCodec(conn io.ReadWriteCloser) codec {
-	reader := msgp.NewReaderSize(conn, bufferBytes)
+	wire := &limiter.Reader{Reader: conn, Remaining: maxMessageBytes, Exceeded: errMessageTooLong}
+	reader := msgp.NewReaderSize(wire, bufferBytes)
 	reader.SetMaxElements(maxValueBytes)
 	reader.SetMaxStringLength(maxStringBytes)
-	return codec{conn: conn, reader: reader, writer: msgp.NewWriterSize(conn, bufferBytes)}
+	return codec{conn: conn, wire: wire, reader: reader, writer: msgp.NewWriterSize(conn, bufferBytes)}
 }
 
 // Close implements rpc.ClientCodec and rpc.ServerCodec.
@@ -84,6 +94,7 @@
 
 // readHeader reads the header that write has written.
 func (c codec) readHeader() (method string, sequence uint64, errorText string, err error) {
+	c.wire.Remaining = maxMessageBytes
 	if method, err = c.reader.ReadString(); err != nil {
 		return "", 0, "", err
 	}
@@ -149,6 +160,7 @@
 	if s.broken != nil {
 		return s.broken
 	}
+	s.wire.Remaining = maxMessageBytes
 	if _, err := s.reader.R.Peek(1); err != nil {
 		return err
 	}
