verifier: a head that has arrived whole is not waited for

What callers would have seen, since: after an interim answer, the final answer, if it comes in one piece by itself and has no body, only when the upstream sends more or the call's deadline ends the wait.

Cause: PeekHead looked at the first byte of an empty buffer, and then asked for one byte more than the buffer held by then, without a look at the bytes that had come with the first.

Evidence: TestHeadIsPeekedAsItArrives did not end before ("a head that comes whole and has nothing behind it"; the case of a broken line neither); both pass now. Found by writing this test.

Why this works: it asks for one byte more than it has looked at.

--- a/internal/kernel/verifier/head.go
+++ b/internal/kernel/verifier/head.go
@@ -34,8 +34,9 @@
 // does not fit into the reader's buffer, or that of the connection.
 func PeekHead(r *bufio.Reader) ([]byte, error) {
 	var s scanner
-	for size := 1; ; size = r.Buffered() + 1 {
+	for size := 1; ; {
 		text, err := r.Peek(max(size, r.Buffered()))
+		size = len(text) + 1
 		done, headErr := s.scan(text)
 		switch {
 		case headErr != nil:
