--- a/internal/kernel/verifier/conn.go
+++ b/internal/kernel/verifier/conn.go
@@ -16,7 +16,7 @@
 	failed error
 
 	mu sync.Mutex
-	// expecting reports whether the head of an answer is due. Head is what has arrived of it.
+	// expecting reports whether the head of an answer is due. Head is what has arrived of it; the base bounds it.
 	expecting bool
 	head      []byte
 	scanner   scanner
@@ -75,9 +75,6 @@
 	c.head = append(c.head, arrived...)
 	for c.expecting && len(c.head) > 0 {
 		done, err := c.scanner.scan(c.head)
-		if err == nil && !done && len(c.head) > MaxHeadBytes {
-			err = &HeadError{c.scanner.lines + 1, "the head is too long"}
-		}
 		if err != nil {
 			c.broken, c.head = err, nil
 			return err
