--- a/internal/kernel/verifier/head.go
+++ b/internal/kernel/verifier/head.go
@@ -26,8 +26,7 @@
 	return fmt.Sprintf("line %d of the answer's head: %s", e.Line, e.Violation)
 }
 
-// PeekHead returns the head of the next answer without consuming it. It reads no more than what has to
-// arrive for that. The error is a *HeadError as soon as a line is broken, bufio.ErrBufferFull if the head
+// PeekHead returns the head of the next answer without consuming it, as soon as it has arrived. The error is a *HeadError as soon as a line is broken, bufio.ErrBufferFull if the head
 // does not fit into the reader's buffer, or that of the connection.
 func PeekHead(r *bufio.Reader) ([]byte, error) {
 	var s scanner
--- a/internal/platform/connector/http.go
+++ b/internal/platform/connector/http.go
@@ -17,7 +17,7 @@
 	"github.com/tamarackscale/tamarackscale/internal/platform/keeper"
 )
 
-// Limits of response bodies. A value has a megabyte at most, which base64 enlarges by a third. Only
+// Limits of response bodies, in bytes. A value has a megabyte at most, which base64 enlarges by a third. Only
 // operators make lists; nodes follow few keys, with small values.
 const (
 	maxItemBytes  = 2 << 20
